entry: serve one request from start to finish by separate processes

Ruled out: a store protocol of our own (the platform's protocol has to be a published one); sending before the claim stands (a lost answer would then allow a second run). Conclusion: the path stands; faults, gangs and membership follow.

--- /dev/null
+++ b/caller/status.go
@@ -0,0 +1,39 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/outcome"
+)
+
+var refusalStatus = map[outcome.Reason]int{
+	outcome.BadRequest:      http.StatusBadRequest,
+	outcome.TooLarge:        http.StatusRequestEntityTooLarge,
+	outcome.Unauthorized:    http.StatusUnauthorized,
+	outcome.UnknownAccount:  http.StatusForbidden,
+	outcome.UnknownService:  http.StatusNotFound,
+	outcome.KeyReused:       http.StatusConflict,
+	outcome.ImpossibleShape: http.StatusUnprocessableEntity,
+	outcome.OverQuota:       http.StatusUnprocessableEntity,
+	outcome.QueueFull:       http.StatusTooManyRequests,
+	outcome.WorkersBusy:     http.StatusTooManyRequests,
+}
+
+// Status returns the HTTP status under which an outcome is sent.
+func Status(o outcome.Outcome) int {
+	switch o.Kind {
+	case outcome.Done, outcome.Failed:
+		return http.StatusOK
+	case outcome.Accepted:
+		return http.StatusAccepted
+	case outcome.Unknown:
+		return http.StatusGatewayTimeout
+	}
+	if status, ok := refusalStatus[o.Reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+func millis(v int64) clock.Millis { return clock.Millis(v) }
--- /dev/null
+++ b/cmd/chestnutsail/entry.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/entry"
+	"github.com/chestnutsail/chestnutsail/settings"
+)
+
+const drainTime = 30 * clock.Second
+
+type entryCommand struct{ settings settings.Entry }
+
+func (*entryCommand) name() string { return "entry" }
+
+func (c *entryCommand) bind(app *kingpin.Application) {
+	c.settings.Bind(app.Command("entry", "Run an entry instance."))
+}
+
+func (c *entryCommand) run() int {
+	if err := c.settings.Check(); err != nil {
+		return fail(exitBadInput, err)
+	}
+	log := logger(c.settings)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	e := entry.New(entry.Options{Settings: c.settings, Log: log})
+	if err := e.Start(ctx); err != nil {
+		return fail(exitFailed, err)
+	}
+	<-ctx.Done()
+	drain, cancel := context.WithTimeout(context.Background(), drainTime.Duration())
+	defer cancel()
+	if err := e.Stop(drain); err != nil {
+		return fail(exitFailed, err)
+	}
+	return exitOK
+}
+
+func logger(s settings.Entry) *logrus.Logger {
+	log := logrus.New()
+	if s.Log == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	level, err := logrus.ParseLevel(s.Level)
+	if err == nil {
+		log.SetLevel(level)
+	}
+	return log
+}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,78 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const secret = "a-secret-for-tests-only"
+
+var binaries string
+
+var _ = BeforeSuite(func() {
+	binaries = GinkgoT().TempDir()
+	for _, name := range []string{"chestnutsail", "standin"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(binaries, name), "../cmd/"+name).CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+	}
+})
+
+// start runs a program until the spec ends and returns its process.
+func start(name string, args ...string) *os.Process {
+	cmd := exec.Command(filepath.Join(binaries, name), args...)
+	cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
+	cmd.Env = append(os.Environ(), "CHESTNUTSAIL_SECRET="+secret)
+	Expect(cmd.Start()).To(Succeed())
+	DeferCleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd.Process
+}
+
+// command runs the command line to its end and returns what it printed.
+func command(env []string, args ...string) (out string, code int) {
+	cmd := exec.Command(filepath.Join(binaries, "chestnutsail"), args...)
+	cmd.Env = append(append(os.Environ(), "CHESTNUTSAIL_SECRET="+secret), env...)
+	raw, err := cmd.CombinedOutput()
+	if cmd.ProcessState == nil {
+		Fail(err.Error())
+	}
+	return strings.TrimSpace(string(raw)), cmd.ProcessState.ExitCode()
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func answers(url string) func() error {
+	return func() error {
+		resp, err := http.Get(url)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s: %s", url, resp.Status)
+		}
+		return nil
+	}
+}
+
+func eventually(check func() error) {
+	GinkgoHelper()
+	Eventually(check).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(Succeed())
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,115 @@
+// Package kernel starts and stops the services of one process and lets them
+// find each other by name.
+//
+// # Usage
+//
+//	k := kernel.New()
+//	k.Add("store", store)
+//	k.Add("caller", caller)
+//	if err := k.Start(ctx); err != nil { ... }
+//	store, ok := kernel.Find[*platform.Client](k, "store")
+//	k.Stop(ctx) // in reverse order
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+)
+
+// Starter is a service with work to do before it can serve.
+type Starter interface {
+	Start(ctx context.Context) error
+}
+
+// Stopper is a service with work to finish before the process ends.
+type Stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// Error tells which service failed to start or stop.
+type Error struct {
+	Service string
+	Op      string
+	Err     error
+}
+
+// Error formats the failure with the operation and the service's name.
+func (e *Error) Error() string { return fmt.Sprintf("kernel: %s %s: %v", e.Op, e.Service, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Kernel is an ordered registry of named services. It is safe for concurrent use.
+type Kernel struct {
+	mu       sync.RWMutex
+	names    []string
+	services map[string]any
+	started  int
+}
+
+// New returns an empty kernel.
+func New() *Kernel { return &Kernel{services: make(map[string]any)} }
+
+// Add registers a service under a name. It panics when the name is taken.
+func (k *Kernel) Add(name string, service any) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, taken := k.services[name]; taken {
+		panic(fmt.Sprintf("kernel: service %q added twice", name))
+	}
+	k.services[name] = service
+	k.names = append(k.names, name)
+}
+
+// Find returns the service registered under name when it has the type T.
+func Find[T any](k *Kernel, name string) (T, bool) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	service, ok := k.services[name].(T)
+	return service, ok
+}
+
+// Start starts the services in the order they were added. When one fails, those
+// already started are stopped again and the failure is returned as *Error.
+func (k *Kernel) Start(ctx context.Context) error {
+	for _, name := range k.order() {
+		s, ok := Find[Starter](k, name)
+		if ok {
+			if err := s.Start(ctx); err != nil {
+				return errors.Join(&Error{Service: name, Op: "start", Err: err}, k.Stop(ctx))
+			}
+		}
+		k.mu.Lock()
+		k.started++
+		k.mu.Unlock()
+	}
+	return nil
+}
+
+// Stop stops the started services in reverse order and returns all failures.
+// It does nothing the second time.
+func (k *Kernel) Stop(ctx context.Context) error {
+	k.mu.Lock()
+	names := k.names[:k.started]
+	k.started = 0
+	k.mu.Unlock()
+	var errs []error
+	for i := len(names) - 1; i >= 0; i-- {
+		s, ok := Find[Stopper](k, names[i])
+		if !ok {
+			continue
+		}
+		if err := s.Stop(ctx); err != nil {
+			errs = append(errs, &Error{Service: names[i], Op: "stop", Err: err})
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (k *Kernel) order() []string {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return append([]string(nil), k.names...)
+}
--- /dev/null
+++ b/outcome/reason.go
@@ -0,0 +1,64 @@
+package outcome
+
+// Reason says why a request was refused or why its fate is unknown. The set is
+// closed: every value appears in Reasons and has a counter.
+type Reason string
+
+// The reasons of a refusal or of an unknown outcome.
+const (
+	BadRequest       Reason = "bad_request"
+	TooLarge         Reason = "too_large"
+	Unauthorized     Reason = "unauthorized"
+	UnknownAccount   Reason = "unknown_account"
+	UnknownService   Reason = "unknown_service"
+	KeyReused        Reason = "key_reused"
+	ImpossibleShape  Reason = "impossible_shape"
+	OverQuota        Reason = "over_quota"
+	QueueFull        Reason = "queue_full"
+	DeadlineExceeded Reason = "deadline_exceeded"
+	NoWorker         Reason = "no_worker"
+	WorkersBusy      Reason = "workers_busy"
+	StoreUnreachable Reason = "store_unreachable"
+	StoreOverBudget  Reason = "store_over_budget"
+	Leaving          Reason = "leaving"
+	NotReady         Reason = "not_ready"
+	Canceled         Reason = "canceled"
+	InProgress       Reason = "in_progress"
+	AnswerLost       Reason = "answer_lost"
+	ClaimUnclear     Reason = "claim_unclear"
+	KeepsFailing     Reason = "keeps_failing"
+)
+
+// Reasons returns every Reason in a fixed order.
+func Reasons() []Reason {
+	return []Reason{
+		BadRequest, TooLarge, Unauthorized, UnknownAccount, UnknownService, KeyReused,
+		ImpossibleShape, OverQuota, QueueFull, DeadlineExceeded, NoWorker, WorkersBusy,
+		StoreUnreachable, StoreOverBudget, Leaving, NotReady, Canceled, InProgress,
+		AnswerLost, ClaimUnclear, KeepsFailing,
+	}
+}
+
+// Retry says why a call was made again. The set is closed.
+type Retry string
+
+// The reasons of a retry.
+const (
+	RetryWorkerFull    Retry = "worker_full"
+	RetryWorkerRefused Retry = "worker_refused"
+	RetryWorkerLost    Retry = "worker_lost"
+	RetryHedge         Retry = "hedge"
+	RetryStoreConflict Retry = "store_conflict"
+	RetryStoreDown     Retry = "store_down"
+	RetryStoreUnclear  Retry = "store_unclear"
+	RetryPeerLost      Retry = "peer_lost"
+	RetryGangRefused   Retry = "gang_refused"
+)
+
+// Retries returns every Retry in a fixed order.
+func Retries() []Retry {
+	return []Retry{
+		RetryWorkerFull, RetryWorkerRefused, RetryWorkerLost, RetryHedge, RetryStoreConflict,
+		RetryStoreDown, RetryStoreUnclear, RetryPeerLost, RetryGangRefused,
+	}
+}
--- /dev/null
+++ b/platformtest/kv.go
@@ -0,0 +1,157 @@
+package platformtest
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const maxValue = 1 << 20 // bytes
+
+type txnOp struct {
+	KV struct {
+		Verb  string
+		Key   string
+		Value []byte
+		Index uint64
+	}
+}
+
+type txnResult struct{ KV pair }
+
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
+	var ops []txnOp
+	if err := json.NewDecoder(r.Body).Decode(&ops); err != nil || len(ops) == 0 {
+		http.Error(w, "malformed transaction", http.StatusBadRequest)
+		return
+	}
+	for _, op := range ops {
+		if len(op.KV.Value) > maxValue {
+			http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+	}
+	if !s.admit(w, true) {
+		return
+	}
+	if s.takeLate(ops) {
+		panic(http.ErrAbortHandler)
+	}
+	results, ok, lose := s.apply(ops)
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		answer(w, http.StatusConflict, map[string]any{"Errors": []map[string]any{{"What": "index is stale"}}})
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{"Results": results})
+}
+
+// takeLate postpones a write when the fault asks for it.
+func (s *Server) takeLate(ops []txnOp) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LateWrites <= 0 {
+		return false
+	}
+	s.faults.LateWrites--
+	time.AfterFunc(s.faults.LateBy.Duration(), func() { s.apply(ops) })
+	return true
+}
+
+func (s *Server) apply(ops []txnOp) (results []txnResult, ok, lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, op := range ops {
+		if s.pairs[op.KV.Key].ModifyIndex != op.KV.Index {
+			return nil, false, false
+		}
+	}
+	s.index++
+	for _, op := range ops {
+		p := pair{Key: op.KV.Key, Value: op.KV.Value, ModifyIndex: s.index}
+		if op.KV.Verb == "delete-cas" {
+			delete(s.pairs, op.KV.Key)
+		} else {
+			s.pairs[op.KV.Key] = p
+		}
+		p.Value = nil
+		results = append(results, txnResult{KV: p})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return nil, true, true
+	}
+	return results, true, false
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, false) {
+		return
+	}
+	key := strings.TrimPrefix(r.URL.Path, "/v1/kv/")
+	q := r.URL.Query()
+	recurse := q.Has("recurse")
+	after, _ := strconv.ParseUint(q.Get("index"), 10, 64)
+	wait, _ := time.ParseDuration(q.Get("wait"))
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		found, index, changed := s.find(key, recurse)
+		if !q.Has("index") || index > after {
+			s.answerPairs(w, found, index)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			s.answerPairs(w, found, index)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// find returns the matching keys and the highest version among them; for an
+// empty prefix match the index is the store's own.
+func (s *Server) find(key string, recurse bool) ([]pair, uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pairs := s.pairs
+	if s.faults.StaleReads {
+		pairs = s.stale
+	}
+	if !recurse {
+		p, ok := pairs[key]
+		if !ok {
+			return nil, s.index, s.changed
+		}
+		return []pair{p}, p.ModifyIndex, s.changed
+	}
+	var found []pair
+	var index uint64
+	for k, p := range pairs {
+		if strings.HasPrefix(k, key) {
+			found = append(found, p)
+			index = max(index, p.ModifyIndex)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found, index, s.changed
+}
+
+func (s *Server) answerPairs(w http.ResponseWriter, found []pair, index uint64) {
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	if len(found) == 0 {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, found)
+}
