--- /dev/null
+++ b/guarantee/guarantee.go
@@ -0,0 +1,173 @@
+// Package guarantee tells whether the guarantees of all client accounts can be
+// formed at the same time, and in which failure domain each of their cells is
+// held.
+//
+// # Usage
+//
+//	if err := guarantee.Check(t.Fleet, t.Accounts); err != nil {
+//		// err is a *guarantee.Error that names the sum that failed
+//	}
+//	cells, _ := guarantee.Assign(t.Fleet, t.Accounts)
+//	mine := cells["domain-a"]
+package guarantee
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/cell"
+	"github.com/chestnutsail/chestnutsail/text"
+)
+
+// Cell is one guaranteed cell of an account in one failure domain.
+type Cell struct {
+	Account string `json:"account"`
+	// Accels is the size of the cell in accelerators, a power of two.
+	Accels int `json:"accels"`
+}
+
+// Error names the guarantee that cannot be formed and the sum that failed.
+type Error struct {
+	Account string
+	// Index is the position of the guarantee in the account's list, from 0.
+	Index int
+	// Domain is the failure domain that was asked for, or "" for any.
+	Domain string
+	// Accels is the size of one cell as it was rounded up, Count the number asked for.
+	Accels int
+	Count  int
+	// Formed is how many of the cells could be formed beside those before it, and
+	// Free the number of accelerators left in the domain in smaller cells.
+	Formed int
+	Free   int
+	// Total is the number of accelerators of the domain, or of all domains.
+	Total int
+}
+
+// Error formats the guarantee and the sum that failed.
+func (e *Error) Error() string {
+	where := "any domain"
+	if e.Domain != "" {
+		where = "domain " + e.Domain
+	}
+	return fmt.Sprintf("account %s: guarantee %d: %d x %d accelerators = %d cannot be formed in %s: only %d of %d cells can beside the other guarantees; %d of %d accelerators are left, in smaller cells",
+		e.Account, e.Index+1, e.Count, e.Accels, e.Count*e.Accels, where, e.Formed, e.Count, e.Free, e.Total)
+}
+
+// Check returns an *Error for the first guarantee that cannot be formed together
+// with the others, or nil. Guarantees of a named domain are formed first, then the
+// larger cells before the smaller.
+func Check(fleet []text.Pool, accounts []text.Account) error {
+	if _, err := Assign(fleet, accounts); err != nil {
+		return err
+	}
+	return nil
+}
+
+type entry struct {
+	account string
+	index   int
+	text.Guarantee
+}
+
+// Assign returns the cells that each failure domain holds for the accounts, the
+// same on every entry for the same text. With an *Error it still assigns every
+// cell, those that cannot be formed to the domain with the most free accelerators.
+func Assign(fleet []text.Pool, accounts []text.Account) (map[string][]Cell, error) {
+	free, domains := capacity(fleet)
+	total := make(map[string]int)
+	for _, d := range domains {
+		total[d] = free[d].Sum()
+		total[""] += total[d]
+	}
+	cells := make(map[string][]Cell)
+	var first error
+	for _, g := range entries(accounts) {
+		formed := 0
+		for range g.Count {
+			domain, ok := g.Domain, false
+			if domain != "" {
+				ok = free[domain] != nil && free[domain].Take(g.Accels)
+			} else {
+				domain, ok = roomiest(free, domains, g.Accels)
+			}
+			if ok {
+				formed++
+			}
+			cells[domain] = append(cells[domain], Cell{Account: g.account, Accels: g.Accels})
+		}
+		if formed < g.Count && first == nil {
+			first = &Error{
+				Account: g.account, Index: g.index, Domain: g.Domain, Accels: g.Accels, Count: g.Count,
+				Formed: formed, Free: left(free, g.Domain), Total: total[g.Domain],
+			}
+		}
+	}
+	return cells, first
+}
+
+// capacity returns the maximal cells of each domain of the fleet.
+func capacity(fleet []text.Pool) (map[string]*cell.Counts, []string) {
+	free := make(map[string]*cell.Counts)
+	var domains []string
+	for _, p := range fleet {
+		if free[p.Domain] == nil {
+			free[p.Domain] = new(cell.Counts)
+			domains = append(domains, p.Domain)
+		}
+		row := make([]int, max(p.Workers, 0))
+		for i := range row {
+			row[i] = p.Accels
+		}
+		free[p.Domain].Blocks(row, p.Accels, max(p.Racks, 0))
+	}
+	return free, domains
+}
+
+// entries lists all guarantees in the order in which they are formed.
+func entries(accounts []text.Account) []entry {
+	var all []entry
+	for _, a := range accounts {
+		for i, g := range a.Guarantee {
+			g.Accels = cell.Round(g.Accels)
+			if g.Accels > 0 {
+				all = append(all, entry{account: a.Name, index: i, Guarantee: g})
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b entry) int {
+		named := func(e entry) int {
+			if e.Domain != "" {
+				return 0
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.Accels, a.Accels), cmp.Compare(named(a), named(b)))
+	})
+	return all
+}
+
+// roomiest takes a cell from the domain that can form the most of that size.
+func roomiest(free map[string]*cell.Counts, domains []string, size int) (string, bool) {
+	best, most := "", -1
+	for _, d := range domains {
+		if n := free[d].Usable(size); n > most {
+			best, most = d, n
+		}
+	}
+	if most < 1 {
+		return best, false
+	}
+	return best, free[best].Take(size)
+}
+
+func left(free map[string]*cell.Counts, domain string) int {
+	sum := 0
+	for d, c := range free {
+		if domain == "" || d == domain {
+			sum += c.Sum()
+		}
+	}
+	return sum
+}
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -20,7 +20,9 @@
 	// all its reservations are gone: ID, Attempt, Worker.
 	Refused EventKind = "refused"
 	// Finished and Broken tell that the whole gang has ended by itself, in success or
-	// in a failure of its own on Worker: ID, Attempt, Worker.
+	// in a failure of its own on Worker: ID, Attempt, Worker. A Broken idempotent job
+	// is answered by Requeue, or by End once it has failed on several workers; without
+	// either the failure stands.
 	Finished EventKind = "finished"
 	Broken   EventKind = "broken"
 	// Stopped tells that a gang has been stopped whole as asked: ID, Attempt, Checkpoint.
@@ -36,6 +38,10 @@
 	Text EventKind = "text"
 	// Tick lets time pass.
 	Tick EventKind = "tick"
+	// Load puts the core into a state as a whole, forgets all that it knew before,
+	// and gives no actions: State. A scheduler that takes over a domain loads the
+	// workers and records it has found before it lets the core decide.
+	Load EventKind = "load"
 )
 
 // Event is one thing that happened. Only the fields named at its kind are set.
@@ -48,6 +54,7 @@
 	Record     *job.Record `json:"record,omitempty"`
 	Node       *Node       `json:"node,omitempty"`
 	Text       *text.Text  `json:"text,omitempty"`
+	State      *State      `json:"state,omitempty"`
 }
 
 // Node is a worker as the scheduler sees it.
@@ -57,3 +64,22 @@
 	Rack     string        `json:"rack"`
 	Capacity job.Resources `json:"capacity"`
 }
+
+// Valid reports whether the event is of a known kind and carries the fields that
+// its kind needs.
+func (e Event) Valid() bool {
+	switch e.Kind {
+	case Submit:
+		return e.Record != nil
+	case WorkerUp:
+		return e.Node != nil
+	case Text:
+		return e.Text != nil
+	case Load:
+		return e.State != nil
+	case Cancel, Started, Refused, Finished, Broken, Stopped, Lost, WorkerLeaving, WorkerGone, Tick:
+		return true
+	default:
+		return false
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,12 +12,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/job"
 	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/text"
 )
 
 // Options configures a Core. The zero value is ready to use.
@@ -31,6 +33,11 @@
 	jobs    map[string]*job.Record
 	waiting []string
 	actions []Action
+
+	now      clock.Millis
+	text     *text.Text
+	since    map[string]clock.Millis
+	stopping map[string]Cause
 }
 
 type node struct {
@@ -41,31 +48,41 @@
 
 // New returns a core that knows no workers and no jobs.
 func New(opts Options) *Core {
-	return &Core{opts: opts, nodes: make(map[string]*node), jobs: make(map[string]*job.Record)}
+	return &Core{
+		opts: opts, nodes: make(map[string]*node), jobs: make(map[string]*job.Record),
+		since: make(map[string]clock.Millis), stopping: make(map[string]Cause),
+	}
 }
 
 // Step takes one event at the time now and returns what has to be done. It panics
 // when the event lacks a field that its kind needs.
 func (c *Core) Step(now clock.Millis, e Event) []Action {
-	c.actions = nil
+	c.actions, c.now = nil, now
 	switch e.Kind {
 	case Submit:
-		c.submit(*e.Record)
+		c.submit(now, *e.Record)
 	case Cancel:
 		c.cancel(e.ID)
 	case Started:
 		c.started(now, e)
 	case Refused, Lost, Stopped:
-		c.back(e)
+		c.back(now, e)
 	case Finished, Broken:
-		c.forget(e.ID)
+		if r, ok := c.jobs[e.ID]; ok && r.Attempt == e.Attempt && r.State != job.Waiting {
+			c.forget(e.ID)
+		}
 	case WorkerUp:
 		c.workerUp(*e.Node)
 	case WorkerLeaving, WorkerGone:
 		if n, ok := c.nodes[e.Worker]; ok {
 			n.leaving = true
 		}
-	case Text, Tick:
+	case Load:
+		c.load(*e.State)
+		return nil
+	case Text:
+		c.text = e.Text
+	case Tick:
 	default:
 		panic(fmt.Sprintf("scheduler: unknown event kind %q", e.Kind))
 	}
@@ -73,13 +90,14 @@
 	return c.actions
 }
 
-func (c *Core) submit(r job.Record) {
+func (c *Core) submit(now clock.Millis, r job.Record) {
 	id := r.Spec.ID()
 	if _, known := c.jobs[id]; known || r.State.Ended() {
 		return
 	}
 	c.jobs[id] = &r
 	if r.State == job.Waiting {
+		c.since[id] = now
 		c.waiting = append(c.waiting, id)
 		return
 	}
@@ -92,6 +110,10 @@
 		return
 	}
 	if r.State != job.Waiting {
+		if c.stopping[id] == CauseCancel {
+			return
+		}
+		c.stopping[id] = CauseCancel
 		c.actions = append(c.actions, Action{Kind: Stop, ID: id, Attempt: r.Attempt, Cause: CauseCancel})
 		return
 	}
@@ -106,9 +128,14 @@
 }
 
 // back returns a job to the queue after an attempt that did not end it.
-func (c *Core) back(e Event) {
+func (c *Core) back(now clock.Millis, e Event) {
 	r, ok := c.jobs[e.ID]
-	if !ok || r.Attempt != e.Attempt {
+	if !ok || r.Attempt != e.Attempt || r.State == job.Waiting {
+		return
+	}
+	if c.stopping[e.ID] == CauseCancel && e.Kind != Lost {
+		c.forget(e.ID)
+		c.actions = append(c.actions, Action{Kind: End, ID: e.ID, State: job.Canceled, Reason: outcome.Canceled})
 		return
 	}
 	if e.Kind == Lost && !r.Spec.Stoppable() {
@@ -118,6 +145,7 @@
 	}
 	c.occupy(r, 1)
 	r.State, r.Members, r.Checkpoint = job.Waiting, nil, e.Checkpoint
+	c.since[e.ID] = now
 	c.waiting = append(c.waiting, e.ID)
 	c.actions = append(c.actions, Action{Kind: Requeue, ID: e.ID, Attempt: e.Attempt, Checkpoint: e.Checkpoint})
 }
@@ -129,6 +157,8 @@
 	}
 	c.occupy(r, 1)
 	delete(c.jobs, id)
+	delete(c.since, id)
+	delete(c.stopping, id)
 	c.waiting = slices.DeleteFunc(c.waiting, func(w string) bool { return w == id })
 }
 
@@ -159,6 +189,10 @@
 	}
 }
 
+func (c *Core) ids() []string {
+	return slices.Sorted(maps.Keys(c.jobs))
+}
+
 func (c *Core) placedOn(worker string) []string {
 	var ids []string
 	for id, r := range c.jobs {
