--- a/guarantee/guarantee.go
+++ b/guarantee/guarantee.go
@@ -86,13 +86,11 @@
 	for _, g := range entries(accounts) {
 		formed := 0
 		for range g.Count {
-			domain, ok := g.Domain, false
-			if domain != "" {
-				ok = free[domain] != nil && free[domain].Take(g.Accels)
-			} else {
-				domain, ok = roomiest(free, domains, g.Accels)
+			domain := g.Domain
+			if domain == "" {
+				domain = roomiest(free, domains, g.Accels)
 			}
-			if ok {
+			if c := free[domain]; c != nil && c.Take(g.Accels) {
 				formed++
 			}
 			cells[domain] = append(cells[domain], Cell{Account: g.account, Accels: g.Accels})
@@ -148,18 +146,15 @@
 	return all
 }
 
-// roomiest takes a cell from the domain that can form the most of that size.
-func roomiest(free map[string]*cell.Counts, domains []string, size int) (string, bool) {
+// roomiest returns the domain that can form the most cells of that size.
+func roomiest(free map[string]*cell.Counts, domains []string, size int) string {
 	best, most := "", -1
 	for _, d := range domains {
 		if n := free[d].Usable(size); n > most {
 			best, most = d, n
 		}
 	}
-	if most < 1 {
-		return best, false
-	}
-	return best, free[best].Take(size)
+	return best
 }
 
 func left(free map[string]*cell.Counts, domain string) int {
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -11,7 +11,7 @@
 //	rec.WriteTo(w)                  // at any time, from any goroutine
 //
 //	steps, err := replay.Read(r)
-//	err = replay.Replay(steps) // a *replay.Diff names the first step that differs
+//	err = replay.Replay(steps) // a *replay.Error names the first step that differs
 package replay
 
 import (
@@ -33,8 +33,8 @@
 	Actions []scheduler.Action `json:"actions,omitempty"`
 }
 
-// Diff tells at which step a replay decided otherwise than the trace.
-type Diff struct {
+// Error tells at which step a replay decided otherwise than the trace.
+type Error struct {
 	// Line is the number of the step, from 1.
 	Line int
 	Now  clock.Millis
@@ -44,7 +44,7 @@
 }
 
 // Error formats the step and both lists of actions.
-func (d *Diff) Error() string {
+func (d *Error) Error() string {
 	return fmt.Sprintf("replay: line %d: %s at %d: actions differ\n  trace:  %s\n  replay: %s", d.Line, d.Kind, d.Now, d.Want, d.Got)
 }
 
@@ -88,14 +88,14 @@
 	}
 }
 
-// Replay feeds the events of steps to a fresh core and returns a *Diff for the
+// Replay feeds the events of steps to a fresh core and returns a *Error for the
 // first step whose actions differ from the trace byte for byte, or nil.
 func Replay(steps []Step) error {
 	core := scheduler.New(scheduler.Options{})
 	for i, s := range steps {
 		got := encode(core.Step(s.Now, s.Event))
 		if want := encode(s.Actions); got != want {
-			return &Diff{Line: i + 1, Now: s.Now, Kind: s.Event.Kind, Want: want, Got: got}
+			return &Error{Line: i + 1, Now: s.Now, Kind: s.Event.Kind, Want: want, Got: got}
 		}
 	}
 	return nil
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -69,8 +70,9 @@
 			if len(steps[i].Actions) > 0 {
 				steps[i].Actions[0].Attempt++
 				err := replay.Replay(steps)
-				Expect(err).To(BeAssignableToTypeOf(&replay.Diff{}))
-				Expect(err.(*replay.Diff).Line).To(Equal(i + 1))
+				var diff *replay.Error
+				Expect(errors.As(err, &diff)).To(BeTrue())
+				Expect(diff.Line).To(Equal(i + 1))
 				return
 			}
 		}
