scheduler: guarantees as bound cells, borrowing, reclaim, moves and quarantine

Cause: the core was first in, first out, first fit; it knew no guarantee. Change: packages cell (buddy cells), guarantee (a ledger of virtual cells that are bound to an aligned group while the account's work is in them), queue (rank by expected run time, corrected from history, and attained service, with ageing), placer (the place whose loss hurts waited-for and owed shapes the least), reclaim (whole gangs, least lost work first), quarantine (workers that fail everything, services that fail everywhere). The core composes them: urgent first, then own guarantees, then borrowing by weighted fairness, then room for large gangs. Ruled out: counting the owed cells left over inside a guarantee without binding them: the cell that a finished job gives back then need not be where its other half is. Found by the property test and mended: planned work that lost its cells on a new text started outside its guarantee; a stop made a cached 'does not fit' wrong; a worker in quarantine that nothing could be tried on stayed out for ever.

--- /dev/null
+++ b/cell/space.go
@@ -0,0 +1,133 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Row is the workers of one rack with the same number of accelerators. Aligned
+// groups of workers in a row form the cells larger than a worker.
+type Row struct {
+	Rack   string
+	Accels int
+	// Workers is indexed by slot.
+	Workers []*Worker
+	// Unbound, Whole and Idle are the maximal cells of the row.
+	Unbound, Whole, Idle Counts
+}
+
+// Space is the workers of one failure domain and the cells that they form.
+type Space struct {
+	// Workers is sorted by name.
+	Workers []*Worker
+	Rows    []*Row
+	// Unbound counts the maximal cells in which guaranteed cells can still be bound,
+	// Whole what Unbound would be if all workers were usable, and Idle the cells that
+	// no work occupies.
+	Unbound, Whole, Idle Counts
+	byName               map[string]*Worker
+	rowOf                map[*Worker]*Row
+}
+
+// NewSpace returns a space without workers.
+func NewSpace() *Space {
+	return &Space{byName: make(map[string]*Worker), rowOf: make(map[*Worker]*Row)}
+}
+
+// Worker returns the worker of the given name, or nil.
+func (s *Space) Worker(name string) *Worker { return s.byName[name] }
+
+// Row returns the row of the worker.
+func (s *Space) Row(w *Worker) *Row { return s.rowOf[w] }
+
+// Add puts the worker into the slot of its row; a slot below 0 stands for the
+// first empty one.
+func (s *Space) Add(w *Worker, slot int) {
+	r := s.row(w.Rack, w.Capacity.Accelerators)
+	if slot < 0 {
+		slot = slices.Index(r.Workers, nil)
+	}
+	if slot < 0 {
+		slot = len(r.Workers)
+	}
+	s.forget(r)
+	for len(r.Workers) <= slot {
+		r.Workers = append(r.Workers, nil)
+	}
+	w.Slot = slot
+	r.Workers[slot] = w
+	s.rowOf[w], s.byName[w.Name] = r, w
+	at, _ := slices.BinarySearchFunc(s.Workers, w.Name, func(x *Worker, name string) int { return strings.Compare(x.Name, name) })
+	s.Workers = slices.Insert(s.Workers, at, w)
+	s.count(r)
+}
+
+// Remove takes the worker out and leaves its slot empty.
+func (s *Space) Remove(w *Worker) {
+	r := s.rowOf[w]
+	s.forget(r)
+	r.Workers[w.Slot] = nil
+	delete(s.rowOf, w)
+	delete(s.byName, w.Name)
+	s.Workers = slices.DeleteFunc(s.Workers, func(x *Worker) bool { return x == w })
+	s.count(r)
+}
+
+// Change calls f, which changes the worker's fields, and counts its row anew.
+func (s *Space) Change(w *Worker, f func(w *Worker)) {
+	r := s.rowOf[w]
+	s.forget(r)
+	f(w)
+	s.count(r)
+}
+
+func (s *Space) row(rack string, accels int) *Row {
+	order := func(r *Row, _ struct{}) int {
+		return cmp.Or(strings.Compare(r.Rack, rack), cmp.Compare(r.Accels, accels))
+	}
+	at, found := slices.BinarySearchFunc(s.Rows, struct{}{}, order)
+	if !found {
+		s.Rows = slices.Insert(s.Rows, at, &Row{Rack: rack, Accels: accels})
+	}
+	return s.Rows[at]
+}
+
+func (s *Space) forget(r *Row) {
+	for i := range r.Unbound {
+		s.Unbound[i] -= r.Unbound[i]
+		s.Whole[i] -= r.Whole[i]
+		s.Idle[i] -= r.Idle[i]
+	}
+}
+
+func (s *Space) count(r *Row) {
+	r.Unbound, r.Whole, r.Idle = Counts{}, Counts{}, Counts{}
+	if r.Accels > 0 {
+		r.Unbound = r.Blocks((*Worker).Unbound)
+		r.Whole = r.Blocks((*Worker).Whole)
+		r.Idle = r.Blocks((*Worker).Idle)
+	}
+	for i := range r.Unbound {
+		s.Unbound[i] += r.Unbound[i]
+		s.Whole[i] += r.Whole[i]
+		s.Idle[i] += r.Idle[i]
+	}
+}
+
+// Blocks returns the maximal cells of the row when free tells the free
+// accelerators of each of its workers.
+func (r *Row) Blocks(free func(*Worker) int) Counts {
+	var buf [64]int
+	row := buf[:0]
+	for _, w := range r.Workers {
+		n := 0
+		if w != nil {
+			n = free(w)
+		}
+		row = append(row, n)
+	}
+	var c Counts
+	c.Blocks(row, r.Accels, 1)
+	return c
+}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,222 @@
+// Package quarantine tells workers that fail everything apart from jobs that fail
+// everywhere. A worker on which several different jobs have failed is kept out,
+// but for a probe now and then. A service that fails on several workers in a row
+// is to blame itself: its failures are not held against the workers.
+//
+// # Usage
+//
+//	t := quarantine.New(quarantine.Options{})
+//	if t.Broke(now, worker, service, id) { ... } // the worker is now kept out
+//	if t.Probe(now, worker) { ... }              // one job may be tried there
+//	if t.Worked(worker, service) { ... }         // the worker is let in again
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+)
+
+// Options configures a Tracker. The zero value is ready to use.
+type Options struct {
+	// Jobs is the number of different jobs that have to fail on a worker; 0 means 3.
+	// It is also the number of workers on which a service has to fail in a row.
+	Jobs int `json:"jobs,omitempty"`
+	// Probe is the time in milliseconds until the first probe, doubled after each
+	// failure up to MaxProbe; 0 means 30 s.
+	Probe clock.Millis `json:"probe,omitempty"`
+	// MaxProbe is the longest time between probes; 0 means 10 min.
+	MaxProbe clock.Millis `json:"max_probe,omitempty"`
+}
+
+const (
+	defaultJobs     = 3
+	defaultProbe    = 30 * clock.Second
+	defaultMaxProbe = 10 * clock.Minute
+)
+
+// Record is what is known of one worker.
+type Record struct {
+	// Failed lists the different jobs that have failed since one last succeeded.
+	Failed []string `json:"failed,omitempty"`
+	// Out tells that the worker is kept out.
+	Out bool `json:"out,omitempty"`
+	// Next is when a probe is allowed, Wait the time until it, Probing the job tried.
+	Next    clock.Millis `json:"next,omitempty"`
+	Wait    clock.Millis `json:"wait,omitempty"`
+	Probing string       `json:"probing,omitempty"`
+}
+
+// Tracker keeps the records of all workers. It is not safe for concurrent use.
+type Tracker struct {
+	opts    Options
+	workers map[string]*Record
+	// services lists the workers on which a service has failed since it last succeeded.
+	services map[string][]string
+}
+
+// New returns a tracker that knows of no failure.
+func New(opts Options) *Tracker {
+	if opts.Jobs == 0 {
+		opts.Jobs = defaultJobs
+	}
+	if opts.Probe == 0 {
+		opts.Probe = defaultProbe
+	}
+	if opts.MaxProbe == 0 {
+		opts.MaxProbe = defaultMaxProbe
+	}
+	return &Tracker{opts: opts, workers: make(map[string]*Record), services: make(map[string][]string)}
+}
+
+// Broke takes in that a job of the service failed on the worker and reports
+// whether the worker is newly kept out.
+func (t *Tracker) Broke(now clock.Millis, worker, service, id string) bool {
+	r := t.workers[worker]
+	if r == nil {
+		r = &Record{Wait: t.opts.Probe}
+		t.workers[worker] = r
+	}
+	if r.Out {
+		if r.Probing == id {
+			r.Wait = min(2*r.Wait, t.opts.MaxProbe)
+			r.Next, r.Probing = now+r.Wait, ""
+		}
+		return false
+	}
+	if t.blame(service, worker) {
+		return false
+	}
+	if !slices.Contains(r.Failed, id) {
+		r.Failed = append(r.Failed, id)
+	}
+	if len(r.Failed) < t.opts.Jobs {
+		return false
+	}
+	r.Out, r.Next, r.Failed = true, now+r.Wait, nil
+	return true
+}
+
+// blame takes in a failure of the service and reports whether it fails everywhere.
+func (t *Tracker) blame(service, worker string) bool {
+	failed := t.services[service]
+	if !slices.Contains(failed, worker) {
+		failed = append(failed, worker)
+		t.services[service] = failed
+	}
+	return len(failed) > t.opts.Jobs
+}
+
+// Worked takes in that a job of the service succeeded on the worker and reports
+// whether the worker is newly let in.
+func (t *Tracker) Worked(worker, service string) bool {
+	delete(t.services, service)
+	r := t.workers[worker]
+	if r == nil {
+		return false
+	}
+	delete(t.workers, worker)
+	return r.Out
+}
+
+// Out reports whether the worker is kept out.
+func (t *Tracker) Out(worker string) bool {
+	r := t.workers[worker]
+	return r != nil && r.Out
+}
+
+// Probe reports whether a job may be tried on a worker that is kept out.
+func (t *Tracker) Probe(now clock.Millis, worker string) bool {
+	r := t.workers[worker]
+	return r != nil && r.Out && r.Probing == "" && now >= r.Next
+}
+
+// Try takes in that the job is tried on the worker.
+func (t *Tracker) Try(worker, id string) {
+	if r := t.workers[worker]; r != nil && r.Out {
+		r.Probing = id
+	}
+}
+
+// Gave takes in that a try has ended without telling anything of the worker.
+func (t *Tracker) Gave(worker, id string) {
+	if r := t.workers[worker]; r != nil && r.Probing == id {
+		r.Probing = ""
+	}
+}
+
+// Forgive drops what a job that fails everywhere has left on the workers.
+func (t *Tracker) Forgive(id string) {
+	for _, r := range t.workers {
+		r.Failed = slices.DeleteFunc(r.Failed, func(x string) bool { return x == id })
+	}
+}
+
+// LetIn lets those workers in again for which a probe has been allowed for
+// MaxProbe without being tried, and returns their names. One more failure puts
+// such a worker out again.
+func (t *Tracker) LetIn(now clock.Millis) []string {
+	var in []string
+	for name, r := range t.workers {
+		if r.Out && r.Probing == "" && now >= r.Next+t.opts.MaxProbe {
+			r.Out = false
+			for i := range t.opts.Jobs - 1 {
+				r.Failed = append(r.Failed, fmt.Sprintf("before/%d", i))
+			}
+			in = append(in, name)
+		}
+	}
+	slices.Sort(in)
+	return in
+}
+
+// Due returns the earliest time after now at which a probe becomes allowed or a
+// worker is let in, or 0.
+func (t *Tracker) Due(now clock.Millis) clock.Millis {
+	var due clock.Millis
+	for _, r := range t.workers {
+		if !r.Out || r.Probing != "" {
+			continue
+		}
+		for _, at := range []clock.Millis{r.Next, r.Next + t.opts.MaxProbe} {
+			if at > now && (due == 0 || at < due) {
+				due = at
+			}
+		}
+	}
+	return due
+}
+
+// State is all that a Tracker knows.
+type State struct {
+	Workers  map[string]Record   `json:"workers,omitempty"`
+	Services map[string][]string `json:"services,omitempty"`
+}
+
+// Snapshot returns a copy of what is known.
+func (t *Tracker) Snapshot() State {
+	s := State{Workers: make(map[string]Record, len(t.workers)), Services: make(map[string][]string, len(t.services))}
+	for name, r := range t.workers {
+		c := *r
+		c.Failed = slices.Clone(r.Failed)
+		s.Workers[name] = c
+	}
+	for name, workers := range t.services {
+		s.Services[name] = slices.Clone(workers)
+	}
+	return s
+}
+
+// Load replaces what is known by s.
+func (t *Tracker) Load(s State) {
+	clear(t.workers)
+	clear(t.services)
+	for name, r := range s.Workers {
+		r.Failed = slices.Clone(r.Failed)
+		t.workers[name] = &r
+	}
+	for name, workers := range s.Services {
+		t.services[name] = slices.Clone(workers)
+	}
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,99 @@
+// Package queue orders the waiting jobs of one client account.
+//
+// A job's rank is its arrival, put back by the time it is expected to run and by
+// the service that it has attained already. Ranks do not change with time, so a
+// long job is overtaken only by work that arrives within its expected run time
+// after it: waiting counts as much for a job as expected run time against it.
+// Urgent jobs go before all others.
+//
+// # Usage
+//
+//	q := queue.New[*work]()
+//	q.Add(item, queue.Rank{Urgent: true, At: queue.At(class, arrived, expected, attained), Seq: n})
+//	for _, item := range q.Items() { ... }
+package queue
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/job"
+)
+
+// Rank orders the items of a queue: urgent ones first, then by At, then by Seq.
+type Rank struct {
+	Urgent bool
+	At     clock.Millis
+	// Seq is the order of arrival; no two items of a queue have the same.
+	Seq int64
+}
+
+// Compare returns a negative number when r goes before o.
+func (r Rank) Compare(o Rank) int {
+	urgent := func(r Rank) int {
+		if r.Urgent {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(urgent(r), urgent(o)), cmp.Compare(r.At, o.At), cmp.Compare(r.Seq, o.Seq))
+}
+
+// Head starts of the classes against each other.
+const (
+	batchBehind = 10 * clock.Minute
+	sweepBehind = 60 * clock.Minute
+)
+
+// At returns the time by which a job of the class that arrived at the given time
+// is ranked.
+func At(class job.Class, arrived, expected, attained clock.Millis) clock.Millis {
+	at := arrived + expected + attained
+	switch class {
+	case job.Batch:
+		at += batchBehind
+	case job.Sweep:
+		at += sweepBehind
+	}
+	return at
+}
+
+type entry[T comparable] struct {
+	rank Rank
+	item T
+}
+
+// Queue holds items in the order of their ranks. It is not safe for concurrent use.
+type Queue[T comparable] struct{ entries []entry[T] }
+
+// New returns an empty queue.
+func New[T comparable]() *Queue[T] { return &Queue[T]{} }
+
+// Add puts the item into its place.
+func (q *Queue[T]) Add(item T, rank Rank) {
+	at, _ := q.find(rank)
+	q.entries = slices.Insert(q.entries, at, entry[T]{rank, item})
+}
+
+// Remove takes out the item with the given rank and reports whether it was there.
+func (q *Queue[T]) Remove(rank Rank) bool {
+	at, found := q.find(rank)
+	if found {
+		q.entries = slices.Delete(q.entries, at, at+1)
+	}
+	return found
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int { return len(q.entries) }
+
+// At returns the item at position i.
+func (q *Queue[T]) At(i int) T { return q.entries[i].item }
+
+// Rank returns the rank of the item at position i.
+func (q *Queue[T]) Rank(i int) Rank { return q.entries[i].rank }
+
+func (q *Queue[T]) find(rank Rank) (int, bool) {
+	return slices.BinarySearchFunc(q.entries, rank, func(e entry[T], r Rank) int { return e.rank.Compare(r) })
+}
--- /dev/null
+++ b/scheduler/commit.go
@@ -0,0 +1,276 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/cell"
+	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/reclaim"
+)
+
+// What work beyond its guarantee is charged with in the fairness between accounts.
+const (
+	accelShare = 1000
+	coreShare  = 100
+)
+
+// commit gives the parts to the work. Works that are in the way and for which over
+// is true are stopped; until they have left, the work is planned and waits for
+// them. It reports false, and changes nothing, when stopping them is not enough.
+func (c *Core) commit(w *work, m mode, parts []part, over func(*work) bool, cause Cause) bool {
+	victims, waits, ok := c.inTheWay(w, parts, over)
+	if !ok {
+		return false
+	}
+	c.dequeue(w)
+	c.unreserve(w)
+	w.mode, w.parts, w.waitFor = m, parts, nil
+	c.occupy(w)
+	for _, v := range victims {
+		c.stop(v, cause)
+		waits = append(waits, v)
+	}
+	if len(waits) == 0 {
+		c.launch(w)
+		return true
+	}
+	w.planned, w.waitFor = true, make(map[string]bool, len(waits))
+	for _, v := range waits {
+		w.waitFor[v.id] = true
+	}
+	at, _ := slices.BinarySearchFunc(c.planned, w.seq, func(p *work, seq int64) int { return cmp.Compare(p.seq, seq) })
+	c.planned = slices.Insert(c.planned, at, w)
+	return true
+}
+
+// launch asks for the start of a work whose workers are free.
+func (c *Core) launch(w *work) {
+	w.planned, w.waitFor = false, nil
+	w.rec.State, w.rec.Attempt = job.Placed, w.rec.Attempt+1
+	w.rec.Members = members(w.parts)
+	for _, p := range w.parts {
+		c.tracker.Try(p.node.Name, w.id)
+	}
+	c.emit(Action{Kind: Place, ID: w.id, Attempt: w.rec.Attempt, Members: slices.Clone(w.rec.Members)})
+}
+
+// members sums the parts up by worker.
+func members(parts []part) []job.Member {
+	var ms []job.Member
+	for _, p := range parts {
+		i := slices.IndexFunc(ms, func(m job.Member) bool { return m.Worker == p.node.Name })
+		if i < 0 {
+			ms = append(ms, job.Member{Worker: p.node.Name})
+			i = len(ms) - 1
+		}
+		ms[i].Tasks += p.tasks
+	}
+	return ms
+}
+
+// inTheWay returns the works that have to be stopped for the parts, and those that
+// are being stopped already and have to be waited for.
+func (c *Core) inTheWay(w *work, parts []part, over func(*work) bool) (victims, waits []*work, ok bool) {
+	chosen := make(map[*work]bool)
+	if over != nil {
+		for _, p := range parts {
+			c.crowded(p, over, chosen)
+		}
+	}
+	var needs []reclaim.Part
+	var gangs []reclaim.Gang
+	for _, n := range nodesOf(parts) {
+		need := need(w, parts, n)
+		if need.Fits(n.Free) {
+			continue
+		}
+		left := n.Free
+		for _, v := range n.works {
+			if v.stopping != "" || chosen[v] {
+				left = left.Add(v.on(n))
+				waits = appendNew(waits, v)
+			}
+		}
+		if need.Fits(left) {
+			continue
+		}
+		if over == nil {
+			return nil, nil, false
+		}
+		needs = append(needs, reclaim.Part{Worker: n.Name, Resources: need.Sub(left)})
+		for _, v := range n.works {
+			if v.stopping == "" && !chosen[v] && v.rec.State != job.Waiting && over(v) {
+				gangs = c.candidate(gangs, v)
+			}
+		}
+	}
+	ids, ok := reclaim.Choose(gangs, needs)
+	if !ok {
+		return nil, nil, false
+	}
+	for _, id := range ids {
+		chosen[c.works[id]] = true
+	}
+	for v := range chosen {
+		victims = append(victims, v)
+	}
+	return sorted(victims), waits, true
+}
+
+// crowded picks the works of the part's own cell for which over is true until the
+// part has room in it, those that lose the least first.
+func (c *Core) crowded(p part, over func(*work) bool, chosen map[*work]bool) {
+	if p.cell == nil || p.cell.Row == nil {
+		return
+	}
+	excess := p.cell.Used[p.offset] + p.cover - p.cell.Size()
+	inCell := func(v *work) int {
+		sum := 0
+		for _, q := range v.parts {
+			if q.cell == p.cell && q.offset == p.offset {
+				sum += q.cover
+			}
+		}
+		return sum
+	}
+	var candidates []*work
+	for _, v := range p.node.works {
+		switch {
+		case v.stopping != "" || chosen[v]:
+			excess -= inCell(v)
+		case v.mode == own && v.rec.State != job.Waiting && over(v) && inCell(v) > 0:
+			candidates = append(candidates, v)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *work) int { return cmp.Or(cmp.Compare(c.lost(a), c.lost(b)), cmp.Compare(a.seq, b.seq)) })
+	for _, v := range candidates {
+		if excess <= 0 {
+			return
+		}
+		chosen[v] = true
+		excess -= inCell(v)
+	}
+}
+
+func (c *Core) candidate(gangs []reclaim.Gang, v *work) []reclaim.Gang {
+	if slices.ContainsFunc(gangs, func(g reclaim.Gang) bool { return g.ID == v.id }) {
+		return gangs
+	}
+	g := reclaim.Gang{ID: v.id, Lost: c.lost(v)}
+	for _, n := range nodesOf(v.parts) {
+		g.Parts = append(g.Parts, reclaim.Part{Worker: n.Name, Resources: v.on(n)})
+	}
+	return append(gangs, g)
+}
+
+func appendNew(works []*work, w *work) []*work {
+	if slices.Contains(works, w) {
+		return works
+	}
+	return append(works, w)
+}
+
+func nodesOf(parts []part) []*node {
+	var nodes []*node
+	for _, p := range parts {
+		if !slices.Contains(nodes, p.node) {
+			nodes = append(nodes, p.node)
+		}
+	}
+	return nodes
+}
+
+func need(w *work, parts []part, n *node) job.Resources {
+	var r job.Resources
+	for _, p := range parts {
+		if p.node == n {
+			r = r.Add(w.needs(p.tasks))
+		}
+	}
+	return r
+}
+
+// occupy takes the resources of the work's parts from their workers and cells.
+func (c *Core) occupy(w *work) {
+	w.share = 0
+	for i := range w.parts {
+		p := &w.parts[i]
+		r := w.needs(p.tasks)
+		p.cover = p.node.Cover(r)
+		c.space.Change(p.node.Worker, func(x *cell.Worker) {
+			x.Free = x.Free.Sub(r)
+			if w.blocks() {
+				x.Bound += p.cover
+			}
+		})
+		if p.cell != nil {
+			p.cell.Used[p.offset] += p.cover
+		} else {
+			w.share += int64(p.cover * accelShare)
+			if p.node.Capacity.Accelerators == 0 {
+				w.share += int64(r.Cores * coreShare)
+			}
+		}
+		if !slices.Contains(p.node.works, w) {
+			p.node.works = append(p.node.works, w)
+		}
+	}
+	w.acct.used = w.acct.used.Add(w.needs(w.tasks()))
+	w.acct.borrowed += w.share
+}
+
+// blocks reports whether the work keeps guaranteed cells from being bound where it
+// runs although it is in none itself.
+func (w *work) blocks() bool { return w.mode == outside && !w.rec.Spec.Stoppable() }
+
+// release gives back what the work holds, and starts planned works that have
+// waited for it only.
+func (c *Core) release(w *work) {
+	if len(w.parts) == 0 {
+		return
+	}
+	for _, p := range w.parts {
+		r := w.needs(p.tasks)
+		c.space.Change(p.node.Worker, func(x *cell.Worker) {
+			x.Free = x.Free.Add(r)
+			if w.blocks() {
+				x.Bound -= p.cover
+			}
+		})
+		if p.cell != nil {
+			p.cell.Used[p.offset] -= p.cover
+		}
+		p.node.works = slices.DeleteFunc(p.node.works, func(x *work) bool { return x == w })
+		c.tracker.Gave(p.node.Name, w.id)
+	}
+	for _, p := range w.parts {
+		if p.cell != nil && p.cell.Row != nil && p.cell.Sum() == 0 {
+			c.ledger.Unbind(p.cell)
+		}
+	}
+	w.acct.used = w.acct.used.Sub(w.needs(w.tasks()))
+	w.acct.borrowed -= w.share
+	w.parts, w.share, w.mode = nil, 0, ""
+	if w.planned {
+		w.planned, w.waitFor = false, nil
+		c.planned = slices.DeleteFunc(c.planned, func(x *work) bool { return x == w })
+	}
+	c.version++
+	c.left(w)
+}
+
+// left tells the planned works that w has left its workers.
+func (c *Core) left(w *work) {
+	var ready []*work
+	for _, p := range c.planned {
+		delete(p.waitFor, w.id)
+		if len(p.waitFor) == 0 {
+			ready = append(ready, p)
+		}
+	}
+	for _, p := range ready {
+		c.planned = slices.DeleteFunc(c.planned, func(x *work) bool { return x == p })
+		c.launch(p)
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler_suite_test.go
@@ -0,0 +1,24 @@
+package scheduler_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+// TestMain fixes the seed and the size of the property tests unless they are given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "400", "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestScheduler(t *testing.T) { suite.Run(t, "scheduler") }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -1,69 +1,227 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
+	"github.com/chestnutsail/chestnutsail/cell"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/quarantine"
+	"github.com/chestnutsail/chestnutsail/queue"
 	"github.com/chestnutsail/chestnutsail/text"
 )
 
 // State is everything that a core knows. A core that is given it in a Load event
 // decides from then on as the core it was taken from.
+//
+// A scheduler that takes over a domain fills in Text, the Nodes and the Record of
+// each of the Jobs, and leaves the rest empty.
 type State struct {
-	Options Options     `json:"options"`
-	Text    *text.Text  `json:"text,omitempty"`
-	Nodes   []NodeState `json:"nodes,omitempty"`
-	Jobs    []JobState  `json:"jobs,omitempty"`
+	Options    Options          `json:"options"`
+	Now        clock.Millis     `json:"now,omitempty"`
+	Text       *text.Text       `json:"text,omitempty"`
+	Nodes      []NodeState      `json:"nodes,omitempty"`
+	Cells      []CellState      `json:"cells,omitempty"`
+	Jobs       []JobState       `json:"jobs,omitempty"`
+	Quarantine quarantine.State `json:"quarantine"`
+	History    queue.History    `json:"history"`
 }
 
 // NodeState is what a core knows of one worker.
 type NodeState struct {
 	Node
-	Leaving bool `json:"leaving,omitempty"`
+	// Slot is the worker's position in its row, from 1; 0 means the next free one.
+	Slot    int          `json:"slot,omitempty"`
+	Leaving bool         `json:"leaving,omitempty"`
+	Gone    bool         `json:"gone,omitempty"`
+	Cool    clock.Millis `json:"cool,omitempty"`
+}
+
+// CellState tells where a guaranteed cell is bound.
+type CellState struct {
+	// Index is the position of the cell among those of the domain.
+	Index int    `json:"index"`
+	Rack  string `json:"rack"`
+	// Accels is the number of accelerators of each worker of the row.
+	Accels   int    `json:"accels"`
+	Start    int    `json:"start"`
+	Reserved string `json:"reserved,omitempty"`
 }
 
 // JobState is what a core knows of one job.
 type JobState struct {
-	Record job.Record   `json:"record"`
-	Since  clock.Millis `json:"since,omitempty"`
-	// Stopping is the cause of a stop that has been asked for and not yet answered.
-	Stopping Cause `json:"stopping,omitempty"`
+	Record job.Record `json:"record"`
+	// Seq is the order in which the jobs became known, from 1.
+	Seq      int64        `json:"seq,omitempty"`
+	Since    clock.Millis `json:"since,omitempty"`
+	Rank     queue.Rank   `json:"rank"`
+	Mode     string       `json:"mode,omitempty"`
+	Parts    []PartState  `json:"parts,omitempty"`
+	WaitFor  []string     `json:"wait_for,omitempty"`
+	Stopping Cause        `json:"stopping,omitempty"`
+	Attained clock.Millis `json:"attained,omitempty"`
+	Failed   []string     `json:"failed,omitempty"`
+	Failures int          `json:"failures,omitempty"`
+	Gang     bool         `json:"gang,omitempty"`
+	Emptied  []string     `json:"emptied,omitempty"`
+}
+
+// PartState is what a job occupies on one worker.
+type PartState struct {
+	Worker string `json:"worker"`
+	Tasks  int    `json:"tasks"`
+	// Cell is the position of the guaranteed cell among those of the domain, from 1;
+	// 0 means none.
+	Cell   int `json:"cell,omitempty"`
+	Offset int `json:"offset,omitempty"`
 }
 
 // Snapshot returns what the core knows, without the payloads of its jobs.
 func (c *Core) Snapshot() State {
-	s := State{Options: c.opts, Text: c.text}
-	for _, name := range c.order {
-		n := c.nodes[name]
-		s.Nodes = append(s.Nodes, NodeState{Node: n.Node, Leaving: n.leaving})
-	}
-	ids := slices.Clone(c.waiting)
-	for _, id := range c.ids() {
-		if !slices.Contains(c.waiting, id) {
-			ids = append(ids, id)
+	s := State{Options: c.opts, Now: c.now, Text: c.text, Quarantine: c.tracker.Snapshot(), History: queue.History{Services: maps.Clone(c.history.Services)}}
+	for _, w := range c.space.Workers {
+		n := c.nodes[w.Name]
+		s.Nodes = append(s.Nodes, NodeState{
+			Node: Node{Name: w.Name, Domain: n.domain, Rack: w.Rack, Capacity: w.Capacity},
+			Slot: w.Slot + 1, Leaving: n.leaving, Gone: n.gone, Cool: n.cool,
+		})
+	}
+	for _, v := range c.ledger.Cells {
+		if v.Row != nil {
+			s.Cells = append(s.Cells, CellState{Index: v.Index, Rack: v.Row.Rack, Accels: v.Row.Accels, Start: v.Start, Reserved: v.Reserved})
 		}
 	}
-	for _, id := range ids {
-		r := *c.jobs[id]
-		r.Spec.Payload, r.Outcome.Body = nil, nil
-		s.Jobs = append(s.Jobs, JobState{Record: r, Since: c.since[id], Stopping: c.stopping[id]})
+	for _, w := range c.bySeq() {
+		s.Jobs = append(s.Jobs, w.state())
 	}
 	return s
 }
 
+func (c *Core) bySeq() []*work {
+	return slices.SortedFunc(maps.Values(c.works), func(a, b *work) int { return cmp.Compare(a.seq, b.seq) })
+}
+
+func (w *work) state() JobState {
+	j := JobState{
+		Record: w.rec, Seq: w.seq, Since: w.since, Rank: w.rank, Mode: string(w.mode), Stopping: w.stopping,
+		Attained: w.attained, Failed: slices.Clone(w.failed), Failures: w.failures, Gang: w.gang, Emptied: slices.Clone(w.emptied),
+		WaitFor: slices.Sorted(maps.Keys(w.waitFor)),
+	}
+	j.Record.Members = slices.Clone(w.rec.Members)
+	for _, p := range w.parts {
+		ps := PartState{Worker: p.node.Name, Tasks: p.tasks, Offset: p.offset}
+		if p.cell != nil {
+			ps.Cell = p.cell.Index + 1
+		}
+		j.Parts = append(j.Parts, ps)
+	}
+	return j
+}
+
 // load puts the core into the state s.
 func (c *Core) load(s State) {
 	*c = *New(s.Options)
-	c.text = s.Text
+	c.now, c.text = s.Now, s.Text
+	c.tracker.Load(s.Quarantine)
+	c.history = queue.History{Services: maps.Clone(s.History.Services)}
 	for _, n := range s.Nodes {
-		c.workerUp(n.Node)
-		c.nodes[n.Name].leaving = n.Leaving
+		if c.opts.Domain == "" {
+			c.opts.Domain = n.Domain
+		}
+		x := c.addNode(n.Node, n.Slot-1)
+		x.leaving, x.gone, x.cool = n.Leaving, n.Gone, n.Cool
+		c.usable(x)
 	}
+	c.rebuild()
+	c.loadCells(s.Cells)
+	var found []*work
 	for _, j := range s.Jobs {
-		c.submit(j.Since, j.Record)
-		if j.Stopping != "" {
-			c.stopping[j.Record.Spec.ID()] = j.Stopping
+		if c.works[j.Record.Spec.ID()] != nil || j.Record.State.Ended() {
+			continue
+		}
+		w := c.loadJob(j)
+		if w.rec.State != job.Waiting && len(w.parts) == 0 {
+			found = append(found, w)
 		}
 	}
+	// Work that cannot be stopped has to find its cells before all other.
+	slices.SortStableFunc(found, func(a, b *work) int {
+		rank := map[bool]int{false: 0, true: 1}
+		return cmp.Compare(rank[a.spec().Stoppable()], rank[b.spec().Stoppable()])
+	})
+	for _, w := range found {
+		c.adopt(w)
+	}
+	c.due = c.nextDue()
+}
+
+func (c *Core) loadCells(cells []CellState) {
+	for _, s := range cells {
+		i := slices.IndexFunc(c.space.Rows, func(r *cell.Row) bool { return r.Rack == s.Rack && r.Accels == s.Accels })
+		if i < 0 || s.Index < 0 || s.Index >= len(c.ledger.Cells) {
+			continue
+		}
+		c.ledger.Bind(c.ledger.Cells[s.Index], c.space.Rows[i], s.Start)
+		c.ledger.Cells[s.Index].Reserved = s.Reserved
+	}
+}
+
+func (c *Core) loadJob(j JobState) *work {
+	w := c.know(j.Record)
+	w.rec.Members = slices.Clone(j.Record.Members)
+	if j.Seq > 0 {
+		w.seq, c.seq = j.Seq, max(c.seq, j.Seq)
+	}
+	w.since, w.stopping, w.attained = orDefault(j.Since, c.now), j.Stopping, j.Attained
+	w.failed, w.failures, w.gang = slices.Clone(j.Failed), j.Failures, j.Gang
+	for _, name := range j.Emptied {
+		c.reserved[name] = w.id
+		w.emptied = append(w.emptied, name)
+	}
+	for _, v := range c.ledger.Cells {
+		if v.Reserved == w.id {
+			w.held = v
+		}
+	}
+	if len(j.Parts) > 0 {
+		c.loadParts(w, j)
+		return w
+	}
+	if w.rec.State == job.Waiting {
+		c.enqueue(w)
+		if j.Rank != (queue.Rank{}) {
+			c.dequeue(w)
+			w.rank, w.queued = j.Rank, true
+			w.acct.queue.Add(w, w.rank)
+			c.demand.Add(w.class.size, 1)
+		}
+	}
+	return w
+}
+
+func (c *Core) loadParts(w *work, j JobState) {
+	for _, p := range j.Parts {
+		n := c.nodes[p.Worker]
+		if n == nil {
+			continue
+		}
+		x := part{node: n, tasks: p.Tasks, offset: p.Offset}
+		if p.Cell > 0 && p.Cell <= len(c.ledger.Cells) {
+			x.cell = c.ledger.Cells[p.Cell-1]
+		}
+		w.parts = append(w.parts, x)
+	}
+	w.mode, w.rank = mode(j.Mode), j.Rank
+	c.occupy(w)
+	if len(j.WaitFor) == 0 {
+		return
+	}
+	w.planned, w.waitFor = true, make(map[string]bool)
+	for _, id := range j.WaitFor {
+		w.waitFor[id] = true
+	}
+	c.planned = append(c.planned, w)
+	slices.SortFunc(c.planned, func(a, b *work) int { return cmp.Compare(a.seq, b.seq) })
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -1,6 +1,10 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/cell"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/job"
 )
@@ -81,26 +85,104 @@
 	Jobs  int           `json:"jobs"`
 }
 
-// Status returns what the core knows, accounts in the order of the text, jobs in
-// the order of the queue, workers by name.
+// Status returns what the core knows: accounts by name, waiting jobs by account and
+// in the order of their queue, workers by name.
 func (c *Core) Status() Status {
 	s := Status{Now: c.now}
-	if c.text != nil {
-		for _, a := range c.text.Accounts {
-			s.Accounts = append(s.Accounts, AccountStatus{Name: a.Name})
+	short := c.shortfalls()
+	for _, a := range c.accounts {
+		s.Accounts = append(s.Accounts, c.accountStatus(a, short[a.name]))
+		for i := range a.queue.Len() {
+			s.Jobs = append(s.Jobs, c.jobStatus(a.queue.At(i)))
 		}
 	}
-	for _, id := range c.waiting {
-		spec := c.jobs[id].Spec
-		s.Jobs = append(s.Jobs, JobStatus{ID: id, Account: spec.Account, Class: spec.Class, Why: WhyCapacity, Since: c.since[id]})
+	for _, w := range c.planned {
+		s.Jobs = append(s.Jobs, c.jobStatus(w))
+	}
+	for _, w := range c.space.Workers {
+		n := c.nodes[w.Name]
+		s.Workers = append(s.Workers, WorkerStatus{
+			Name: w.Name, Rack: w.Rack, Health: c.health(n), Free: w.Free, Total: w.Capacity, Jobs: len(n.works),
+		})
+	}
+	return s
+}
+
+func (c *Core) accountStatus(a *account, short int) AccountStatus {
+	s := AccountStatus{Name: a.name, Waiting: a.queue.Len(), Shortfall: short}
+	for _, v := range c.ledger.Of(a.name) {
+		s.Guarantee += v.Accels
+	}
+	for _, w := range c.works {
+		if w.acct != a || len(w.parts) == 0 {
+			continue
+		}
+		if w.planned {
+			s.Waiting++
+		} else {
+			s.Running++
+		}
+		if w.mode == own {
+			s.Held += w.accels()
+		} else {
+			s.Borrowed += w.accels()
+		}
 	}
-	for _, name := range c.order {
-		n := c.nodes[name]
-		w := WorkerStatus{Name: name, Rack: n.Rack, Health: Up, Free: n.free, Total: n.Capacity, Jobs: len(c.placedOn(name))}
-		if n.leaving {
-			w.Health = Leaving
+	s.Owed = max(s.Guarantee-s.Held, 0)
+	return s
+}
+
+// shortfalls returns, by account, the accelerators of owed cells that cannot be
+// formed and of bound cells whose workers are unusable.
+func (c *Core) shortfalls() map[string]int {
+	missing := c.ledger.Owed.ShortBySize(c.space.Unbound)
+	short := make(map[string]int)
+	for _, v := range slices.Backward(c.ledger.Cells) {
+		if v.Row == nil {
+			if level := cell.Level(v.Accels); missing[level] > 0 {
+				missing[level]--
+				short[v.Account] += v.Accels
+			}
+			continue
 		}
-		s.Workers = append(s.Workers, w)
+		for i := range v.Used {
+			if w := v.Worker(i); w == nil || !w.Usable {
+				short[v.Account] += max(v.Size()-v.Used[i], 0)
+			}
+		}
+	}
+	return short
+}
+
+func (c *Core) health(n *node) Health {
+	switch {
+	case n.gone:
+		return Gone
+	case n.leaving:
+		return Leaving
+	case c.tracker.Out(n.Name):
+		return Quarantined
+	default:
+		return Up
+	}
+}
+
+func (c *Core) jobStatus(w *work) JobStatus {
+	s := JobStatus{ID: w.id, Account: w.acct.name, Class: w.spec().Class, Since: w.since, Why: WhyCapacity}
+	switch {
+	case w.planned:
+		s.Why = WhyReclaim
+		s.Detail = fmt.Sprintf("waits for %d jobs to stop", len(w.waitFor))
+	case !c.withinQuota(w):
+		s.Why = WhyQuota
+		s.Detail = fmt.Sprintf("the account occupies %d accelerators and %d cores", w.acct.used.Accelerators, w.acct.used.Cores)
+	case len(w.emptied) > 0 || w.held != nil:
+		s.Why = WhyReserved
+		s.Detail = fmt.Sprintf("workers are being emptied; borrowers leave by %d", w.since+c.opts.Wait)
+	case c.text != nil && !w.spec().Stoppable() && c.ledger.Short() > 0:
+		s.Why = WhyShortfall
+	case c.text != nil && !w.spec().Stoppable():
+		s.Why = WhyGuarantee
 	}
 	return s
 }
--- /dev/null
+++ b/scheduler/world_test.go
@@ -0,0 +1,323 @@
+package scheduler_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/cell"
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/scheduler"
+	"github.com/chestnutsail/chestnutsail/text"
+)
+
+// world keeps what really runs where, as told by the actions alone, and fails when
+// a decision breaks a promise.
+type world struct {
+	fail func(format string, args ...any)
+	core *scheduler.Core
+	// twin is stepped alike and has to decide alike; it is made anew from a snapshot.
+	twin  *scheduler.Core
+	now   clock.Millis
+	text  *text.Text
+	nodes map[string]scheduler.Node
+	down  map[string]bool
+	jobs  map[string]*truth
+	ended map[string]job.State
+	// spoiled lists the cells that were bound while workers were down; they may keep
+	// others from being formed until they are unbound, and so may those that were
+	// bound under another text.
+	spoiled map[int]bool
+	changed bool
+}
+
+// truth is what the world knows of a job that has not ended.
+type truth struct {
+	spec     job.Spec
+	attempt  int
+	members  []job.Member
+	running  bool
+	stopping bool
+}
+
+func newWorld(fail func(string, ...any), opts scheduler.Options) *world {
+	return &world{
+		fail: fail, core: scheduler.New(opts), nodes: make(map[string]scheduler.Node),
+		down: make(map[string]bool), jobs: make(map[string]*truth), ended: make(map[string]job.State),
+		spoiled: make(map[int]bool),
+	}
+}
+
+func (w *world) step(e scheduler.Event) {
+	w.expect(e)
+	actions := w.core.Step(w.now, e)
+	if w.twin != nil {
+		if got, want := encode(w.twin.Step(w.now, e)), encode(actions); got != want {
+			w.fail("a core loaded from a snapshot decides otherwise at %s:\n%s\n%s", encode(e), want, got)
+		}
+	}
+	for _, a := range actions {
+		w.act(a)
+	}
+	w.check(actions)
+}
+
+// expect takes in what the event itself changes.
+func (w *world) expect(e scheduler.Event) {
+	j := w.jobs[e.ID]
+	current := j != nil && j.members != nil && j.attempt == e.Attempt
+	switch e.Kind {
+	case scheduler.Submit:
+		id := e.Record.Spec.ID()
+		if w.jobs[id] == nil && w.ended[id] == "" {
+			w.jobs[id] = &truth{spec: e.Record.Spec, attempt: e.Record.Attempt, members: e.Record.Members}
+		}
+	case scheduler.Started:
+		if current {
+			j.running = true
+		}
+	case scheduler.Finished:
+		if current {
+			w.end(e.ID, job.Done)
+		}
+	case scheduler.Broken:
+		if current && !j.spec.Idempotent {
+			w.end(e.ID, job.Failed)
+		} else if current {
+			j.members = nil
+		}
+	case scheduler.Stopped, scheduler.Refused, scheduler.Lost:
+		if current {
+			j.members = nil
+		}
+	case scheduler.WorkerUp:
+		w.nodes[e.Node.Name] = *e.Node
+		delete(w.down, e.Node.Name)
+	case scheduler.WorkerGone, scheduler.WorkerLeaving:
+		w.down[e.Worker] = true
+	case scheduler.Text:
+		w.changed = w.text != e.Text
+		w.text = e.Text
+	}
+}
+
+func (w *world) end(id string, s job.State) {
+	delete(w.jobs, id)
+	w.ended[id] = s
+}
+
+// act takes in an action and checks it against what the world knows.
+func (w *world) act(a scheduler.Action) {
+	j := w.jobs[a.ID]
+	if j == nil && a.Kind != scheduler.Quarantine && a.Kind != scheduler.Restore {
+		if a.Kind == scheduler.End && w.ended[a.ID] != "" {
+			w.fail("%s ended twice", a.ID)
+		}
+		w.fail("%s of unknown job %s", a.Kind, a.ID)
+	}
+	switch a.Kind {
+	case scheduler.Place:
+		w.placed(j, a)
+	case scheduler.Stop:
+		if j.members == nil || j.attempt != a.Attempt || j.stopping && a.Cause != scheduler.CauseCancel {
+			w.fail("stop of %s: attempt %d is not running or was stopped before", a.ID, a.Attempt)
+		}
+		if a.Cause != scheduler.CauseCancel && !j.spec.Stoppable() {
+			w.fail("%s was stopped for %s although it cannot be", a.ID, a.Cause)
+		}
+		j.stopping = true
+	case scheduler.End:
+		if j.members != nil {
+			w.fail("%s ended as %s while it runs", a.ID, a.State)
+		}
+		w.end(a.ID, a.State)
+	case scheduler.Requeue:
+		if j.members != nil || a.Attempt != j.attempt {
+			w.fail("%s was requeued while it runs", a.ID)
+		}
+		j.running, j.stopping = false, false
+	}
+}
+
+func (w *world) placed(j *truth, a scheduler.Action) {
+	if j.members != nil || a.Attempt != j.attempt+1 {
+		w.fail("%s was placed as attempt %d after attempt %d", a.ID, a.Attempt, j.attempt)
+	}
+	j.attempt, j.members, j.running, j.stopping = a.Attempt, a.Members, false, false
+	sum := 0
+	racks, names := make(map[string]bool), make(map[string]bool)
+	for _, m := range a.Members {
+		if w.down[m.Worker] || names[m.Worker] || m.Tasks < 1 {
+			w.fail("%s was placed on %v, which is down, named twice or has no task", a.ID, m)
+		}
+		sum += m.Tasks
+		names[m.Worker], racks[w.nodes[m.Worker].Rack] = true, true
+	}
+	if sum != j.spec.Shape.Count() {
+		w.fail("%s has %d tasks and was placed with %d", a.ID, j.spec.Shape.Count(), sum)
+	}
+	if j.spec.Shape.Adjacent == job.Rack && len(racks) > 1 || j.spec.Shape.Adjacent == job.Worker && len(names) > 1 {
+		w.fail("%s is not adjacent: %v", a.ID, a.Members)
+	}
+	if acct, ok := w.text.Account(j.spec.Account); ok && acct.Quota.Accelerators > 0 {
+		if used := w.used(j.spec.Account); used > acct.Quota.Accelerators {
+			w.fail("account %s holds %d accelerators over its quota", acct.Name, used)
+		}
+	}
+}
+
+func (w *world) used(account string) int {
+	sum := 0
+	for _, j := range w.jobs {
+		if j.spec.Account == account && j.members != nil {
+			sum += j.spec.Shape.Count() * j.spec.Shape.Accelerators
+		}
+	}
+	return sum
+}
+
+// check looks at the whole state after a step.
+func (w *world) check(actions []scheduler.Action) {
+	free := make(map[string]job.Resources)
+	for name, n := range w.nodes {
+		free[name] = n.Capacity
+	}
+	for id, j := range w.jobs {
+		for _, m := range j.members {
+			free[m.Worker] = free[m.Worker].Sub(j.spec.Shape.Resources(m.Tasks))
+			if f := free[m.Worker]; !(job.Resources{}).Fits(f) {
+				w.fail("worker %s is overcommitted by %s: %+v", m.Worker, id, f)
+			}
+		}
+	}
+	s := w.core.Snapshot()
+	w.checkJobs(s)
+	w.checkModes(s, actions)
+	w.checkGuarantees(s)
+}
+
+func (w *world) checkJobs(s scheduler.State) {
+	seen := make(map[string]bool)
+	for _, j := range s.Jobs {
+		id := j.Record.Spec.ID()
+		t := w.jobs[id]
+		if t == nil || seen[id] {
+			w.fail("%s is known to the core, but has ended or is there twice", id)
+		}
+		seen[id] = true
+		if (t.members != nil) != (j.Record.State != job.Waiting) {
+			w.fail("%s is %s in the core; really on %v", id, j.Record.State, t.members)
+		}
+		if j.Mode == "borrow" && !t.spec.Stoppable() {
+			w.fail("%s borrows although it cannot be stopped", id)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		if !seen[id] {
+			w.fail("%s was lost", id)
+		}
+	}
+}
+
+// checkModes checks that work which needs accelerators and cannot be stopped has
+// been placed within its guarantee.
+func (w *world) checkModes(s scheduler.State, actions []scheduler.Action) {
+	modes := make(map[string]string)
+	for _, j := range s.Jobs {
+		modes[j.Record.Spec.ID()] = j.Mode
+	}
+	for _, a := range actions {
+		j := w.jobs[a.ID]
+		if a.Kind == scheduler.Place && j.spec.Shape.Accelerators > 0 && !j.spec.Stoppable() && modes[a.ID] != "own" {
+			w.fail("%s cannot be stopped and was placed outside its guarantee: %s", a.ID, modes[a.ID])
+		}
+	}
+}
+
+// checkGuarantees checks that the cells still owed can be formed from what is free
+// or held by borrowers, unless workers are down, and that no cell holds more than
+// its size.
+func (w *world) checkGuarantees(s scheduler.State) {
+	if w.text == nil {
+		return
+	}
+	owed, unbound, down, largest := w.cells(s)
+	isBound := make(map[int]bool)
+	for _, b := range s.Cells {
+		isBound[b.Index] = true
+		if down > 0 || w.changed {
+			w.spoiled[b.Index] = true
+		}
+	}
+	w.changed = false
+	maps.DeleteFunc(w.spoiled, func(i int, _ bool) bool { return !isBound[i] })
+	short := owed.Short(unbound)
+	if short > (down+len(w.spoiled))*largest {
+		w.fail("%d accelerators of owed cells cannot be formed with %d workers down: owed %v, unbound %v", short, down, owed, unbound)
+	}
+}
+
+// cells counts the owed cells and the accelerators that no guarantee has bound,
+// from the snapshot alone.
+func (w *world) cells(s scheduler.State) (owed, unbound cell.Counts, down, largest int) {
+	var sizes []int
+	for _, a := range guaranteed(w.text) {
+		sizes = append(sizes, a)
+		largest = max(largest, a)
+	}
+	taken := make(map[string]map[int]int)
+	isBound := make(map[int]bool)
+	for _, b := range s.Cells {
+		isBound[b.Index] = true
+		key := fmt.Sprint(b.Rack, "/", b.Accels)
+		if taken[key] == nil {
+			taken[key] = make(map[int]int)
+		}
+		for i := range max(sizes[b.Index]/b.Accels, 1) {
+			taken[key][b.Start+i] += min(sizes[b.Index], b.Accels)
+			if taken[key][b.Start+i] > b.Accels {
+				w.fail("more cells are bound in %s at %d than it has accelerators", key, b.Start+i)
+			}
+		}
+	}
+	for i, size := range sizes {
+		if !isBound[i] {
+			owed.Add(size, 1)
+		}
+	}
+	rows := make(map[string][]int)
+	down = len(fleet()) - len(s.Nodes)
+	for _, n := range s.Nodes {
+		if n.Capacity.Accelerators == 0 {
+			continue
+		}
+		key := fmt.Sprint(n.Rack, "/", n.Capacity.Accelerators)
+		for len(rows[key]) < n.Slot {
+			rows[key] = append(rows[key], 0)
+		}
+		if w.down[n.Name] || s.Quarantine.Workers[n.Name].Out {
+			down++
+			continue
+		}
+		rows[key][n.Slot-1] = n.Capacity.Accelerators - taken[key][n.Slot-1]
+	}
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		unbound.Blocks(rows[key], accels, 1)
+	}
+	for _, j := range s.Jobs {
+		if j.Mode == "outside" && j.Record.Spec.Shape.Accelerators > 0 {
+			down += len(j.Parts)
+		}
+	}
+	return owed, unbound, down, largest
+}
+
+func encode(v any) string {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(raw)
+}
