peer: let entries tell each other that they live and call each other by name

Cause: entries knew nothing of each other; configuration, drain and terms need it. Change: package peer, a mesh over WebSocket and CBOR at /mesh. Both ends prove the shared secret over nonces of the connection (package token, constant time), so a recorded proof is of no use. Rows carry incarnation and version, news is passed on at once, heartbeats are at most 1/s. Full mesh up to a dozen, two rings past that. Malformed, oversized or unproven frames close their connection only. Ruled out: a bearer token in the upgrade request (whoever is listed with the platform would be sent it); rows without versions (an old rumour would win).

--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,245 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/gorilla/websocket"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/counters"
+	"github.com/chestnutsail/chestnutsail/peer"
+	"github.com/chestnutsail/chestnutsail/token"
+)
+
+const (
+	secret = "a-secret-for-tests-only"
+	beat   = 100 * clock.Millisecond
+)
+
+// node is one mesh behind a server of its own.
+type node struct {
+	*peer.Mesh
+	server   *httptest.Server
+	counters *counters.Counters
+}
+
+func (n *node) stop() {
+	_ = n.Stop(context.Background())
+	n.server.Close()
+}
+
+// metric returns a counter's value.
+func (n *node) metric(name string) uint64 { return n.counters.Counter(name).Get() }
+
+// join starts a node that looks for others at the seeds.
+func join(opts peer.Options, seeds ...*node) *node {
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	var mesh *peer.Mesh
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { mesh.ServeHTTP(w, r) }))
+	for _, s := range seeds {
+		opts.Seeds = append(opts.Seeds, s.Self().Address)
+	}
+	if opts.Tokens == nil {
+		opts.Tokens = token.New(secret)
+	}
+	if opts.Domain == "" {
+		opts.Domain = "a"
+	}
+	opts.Beat, opts.Counters, opts.Log = beat, counters.New(), logrus.NewEntry(log)
+	opts.Address = server.Listener.Addr().String()
+	mesh = peer.New(opts)
+	server.Start()
+	n := &node{Mesh: mesh, server: server, counters: opts.Counters}
+	DeferCleanup(n.stop)
+	return n
+}
+
+// cluster starts entries e00, e01, … over three failure domains that know only the first.
+func cluster(n int, opts peer.Options) []*node {
+	var nodes []*node
+	for i := range n {
+		opts.Name, opts.Domain = fmt.Sprintf("e%02d", i), string(rune('a'+i%3))
+		nodes = append(nodes, join(opts, nodes[:min(i, 1)]...))
+	}
+	for _, v := range nodes {
+		Eventually(names(v)).WithTimeout(10 * time.Second).Should(HaveLen(n - 1))
+	}
+	return nodes
+}
+
+func names(n *node) func() []string {
+	return func() []string {
+		var list []string
+		for _, p := range n.Peers() {
+			list = append(list, p.Name)
+		}
+		return list
+	}
+}
+
+func see(n *node, name string) func() peer.Peer {
+	return func() peer.Peer {
+		for _, p := range n.Peers() {
+			if p.Name == name {
+				return p
+			}
+		}
+		return peer.Peer{}
+	}
+}
+
+var _ = Describe("the mesh", func() {
+	DescribeTable("spreads what an entry says of itself to all", func(n, full int) {
+		nodes := cluster(n, peer.Options{Full: full})
+		nodes[n-1].Announce(true, 7)
+		nodes[n-1].Revise(42)
+		nodes[n-1].Leave()
+		for _, v := range nodes[:n-1] {
+			Eventually(see(v, nodes[n-1].Self().Name)).WithTimeout(2 * time.Second).Should(And(
+				HaveField("Leads", true), HaveField("Term", int64(7)),
+				HaveField("Revision", uint64(42)), HaveField("Leaving", true)))
+		}
+	},
+		Entry("two entries", 2, 12),
+		Entry("a full mesh of nine", 9, 12),
+		Entry("a partial mesh of eighteen", 18, 6),
+	)
+
+	It("answers calls, carries errors and the deadline, and keeps answers apart", func() {
+		a := join(peer.Options{Name: "a"})
+		b := join(peer.Options{Name: "b"}, a)
+		Eventually(names(a)).Should(ConsistOf("b"))
+		b.Handle("echo", func(_ context.Context, from string, in []byte) ([]byte, error) {
+			return append([]byte(from+":"), in...), nil
+		})
+		b.Handle("fail", func(context.Context, string, []byte) ([]byte, error) { return nil, errors.New("no") })
+		b.Handle("hang", func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		ctx := context.Background()
+		answers := make(chan string, 100)
+		for i := range 100 {
+			go func() {
+				out, err := a.Call(ctx, "b", "echo", fmt.Append(nil, i))
+				answers <- fmt.Sprint(string(out) == fmt.Sprint("a:", i), err)
+			}()
+		}
+		for range 100 {
+			Expect(<-answers).To(Equal("true <nil>"))
+		}
+		_, err := a.Call(ctx, "b", "fail", nil)
+		Expect(err).To(MatchError(&peer.Error{Peer: "b", Method: "fail", Sent: true, Remote: true, Err: errors.New("no")}))
+		_, err = a.Call(ctx, "c", "echo", nil)
+		Expect(err).To(MatchError(peer.ErrNoPeer))
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err = a.Call(short, "b", "hang", nil)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("gives up an entry that dies without a word, and takes it back under a new incarnation", func() {
+		nodes := cluster(3, peer.Options{})
+		old := see(nodes[0], "e02")()
+		nodes[2].stop()
+		Eventually(names(nodes[0])).WithTimeout(2 * time.Second).Should(ConsistOf("e01"))
+		again := join(peer.Options{Name: "e02"}, nodes[1])
+		Eventually(names(nodes[0])).WithTimeout(2 * time.Second).Should(ConsistOf("e01", "e02"))
+		Expect(see(nodes[0], "e02")().Incarnation).To(BeNumerically(">", old.Incarnation))
+		Expect(see(nodes[0], "e02")().Address).To(Equal(again.Self().Address))
+	})
+
+	It("counts and reports two live entries of one name", func() {
+		a := join(peer.Options{Name: "same"})
+		hub := join(peer.Options{Name: "hub"}, a)
+		Eventually(names(hub)).Should(ConsistOf("same"))
+		b := join(peer.Options{Name: "same"}, a)
+		Eventually(func() uint64 {
+			return a.metric("chestnutsail_peer_duplicates_total") + b.metric("chestnutsail_peer_duplicates_total")
+		}).WithTimeout(3 * time.Second).Should(BeNumerically(">", 0))
+	})
+
+	DescribeTable("refuses who does not know the secret", func(opts peer.Options) {
+		a := join(peer.Options{Name: "a"})
+		opts.Name = "stranger"
+		b := join(opts, a)
+		Consistently(names(a)).WithTimeout(5 * beat.Duration()).Should(BeEmpty())
+		Expect(b.Peers()).To(BeEmpty())
+		Expect(a.metric(`chestnutsail_peer_dropped_total{reason="unauthorized"}`)).To(BeNumerically(">", 0))
+	},
+		Entry("another secret", peer.Options{Tokens: token.New("another-secret-of-16")}),
+	)
+
+	It("takes both secrets while they are rotated", func() {
+		a := join(peer.Options{Name: "a", Tokens: token.New("a-new-secret-of-16-bytes", secret)})
+		b := join(peer.Options{Name: "b", Tokens: token.New(secret, "a-new-secret-of-16-bytes")}, a)
+		Eventually(names(a)).Should(ConsistOf("b"))
+		Eventually(names(b)).Should(ConsistOf("a"))
+	})
+
+	DescribeTable("closes only the connection that sends garbage", func(reason string, form int, raw []byte) {
+		a := join(peer.Options{Name: "a"})
+		_ = join(peer.Options{Name: "b"}, a)
+		Eventually(names(a)).Should(ConsistOf("b"))
+		conn, _, err := websocket.DefaultDialer.Dial("ws://"+a.Self().Address+peer.Path, http.Header{"Mesh-Nonce": {"n"}})
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		Expect(conn.WriteMessage(form, raw)).To(Succeed())
+		_, _, err = conn.ReadMessage()
+		Expect(err).To(HaveOccurred())
+		Eventually(func() uint64 { return a.metric(`chestnutsail_peer_dropped_total{reason="` + reason + `"}`) }).Should(BeEquivalentTo(1))
+		Consistently(names(a)).WithTimeout(4 * beat.Duration()).Should(ConsistOf("b"))
+	},
+		Entry("a frame cut short", "malformed", websocket.BinaryMessage, peer.Frames()[0][:9]),
+		Entry("two frames in one", "malformed", websocket.BinaryMessage, append(peer.Frames()[0], peer.Frames()[1]...)),
+		Entry("a length beyond the end", "malformed", websocket.BinaryMessage, []byte{0xa1, 0x04, 0x5b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}),
+		Entry("text in place of binary", "malformed", websocket.TextMessage, []byte("hello")),
+		Entry("a hello of 32 KB", "too_large", websocket.BinaryMessage, make([]byte, 32<<10)),
+		Entry("a hello with a forged proof", "unauthorized", websocket.BinaryMessage, peer.Frames()[0]),
+		Entry("a call before the hello", "unauthorized", websocket.BinaryMessage, peer.Frames()[2]),
+	)
+
+	It("refuses plain HTTP without a nonce", func() {
+		a := join(peer.Options{Name: "a"})
+		resp, err := http.Get("http://" + a.Self().Address + peer.Path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusUnauthorized))
+	})
+})
+
+var _ = Describe("a partial mesh", func() {
+	It("reaches every entry in a few hops with few connections", func() {
+		var all []peer.Peer
+		for i := range 36 {
+			all = append(all, peer.Peer{Name: fmt.Sprintf("e%02d", i), Domain: string(rune('a' + i/9))})
+		}
+		edges := map[string][]string{}
+		for i, p := range all {
+			others := append(append([]peer.Peer{}, all[:i]...), all[i+1:]...)
+			for _, n := range peer.Neighbours(p, others, 12) {
+				edges[p.Name] = append(edges[p.Name], n)
+				edges[n] = append(edges[n], p.Name)
+			}
+		}
+		reached := map[string]int{all[0].Name: 0}
+		for queue := []string{all[0].Name}; len(queue) > 0; queue = queue[1:] {
+			for _, n := range edges[queue[0]] {
+				if _, ok := reached[n]; !ok {
+					reached[n] = reached[queue[0]] + 1
+					Expect(reached[n]).To(BeNumerically("<=", 4))
+					queue = append(queue, n)
+				}
+			}
+		}
+		Expect(reached).To(HaveLen(36))
+	})
+})
