caller: route jobs beside quick requests and cancel by key

Cause: every request went to the quick path and none could be canceled. Change: Options.Jobs takes what is not quick (Spec.IsQuick), DELETE /v1/requests/{key} cancels there, and asking for a key that nothing is recorded under answers unknown/unknown_key instead of notrun/not_ready, which was untrue for a claim still on its way. Not measured.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -6,7 +6,8 @@
 //	mux.Handle("/v1/requests", c)
 //
 // POST /v1/requests submits a request, GET /v1/requests/{key} asks for its
-// outcome. The account is the one of the bearer token.
+// outcome, DELETE /v1/requests/{key} cancels it. The account is the one of the
+// bearer token.
 package caller
 
 import (
@@ -33,6 +34,12 @@
 	Ask(ctx context.Context, account, key string) outcome.Outcome
 }
 
+// Jobs accepts the requests that go through the scheduler.
+type Jobs interface {
+	Submitter
+	Cancel(ctx context.Context, account, key string) outcome.Outcome
+}
+
 // Texts tells which accounts and services exist.
 type Texts interface {
 	Now() config.Snapshot
@@ -40,7 +47,10 @@
 
 // Options configures a Handler.
 type Options struct {
-	Quick    Submitter
+	// Quick takes the requests whose Spec.IsQuick holds.
+	Quick Submitter
+	// Jobs takes all others; nil refuses them.
+	Jobs     Jobs
 	Texts    Texts
 	Tokens   *token.Secrets
 	Counters *counters.Counters
@@ -72,6 +82,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/requests", h.submit)
 	mux.HandleFunc("GET /v1/requests/{key}", h.ask)
+	mux.HandleFunc("DELETE /v1/requests/{key}", h.cancel)
 	h.http = alice.New(h.authorize).Then(mux)
 	return h
 }
@@ -109,12 +120,7 @@
 		h.answer(w, *refused)
 		return
 	}
-	h.answer(w, h.opts.Quick.Submit(r.Context(), s))
-}
-
-func (h *Handler) ask(w http.ResponseWriter, r *http.Request) {
-	account, _ := r.Context().Value(accountKey{}).(string)
-	h.answer(w, h.opts.Quick.Ask(r.Context(), account, r.PathValue("key")))
+	h.answer(w, h.route(r.Context(), s))
 }
 
 // spec completes a request from the text in force and checks it.
--- a/caller/status.go
+++ b/caller/status.go
@@ -28,6 +28,9 @@
 	case outcome.Accepted:
 		return http.StatusAccepted
 	case outcome.Unknown:
+		if o.Reason == outcome.UnknownKey {
+			return http.StatusNotFound
+		}
 		return http.StatusGatewayTimeout
 	}
 	if status, ok := refusalStatus[o.Reason]; ok {
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -27,6 +27,14 @@
 	AnswerLost       Reason = "answer_lost"
 	ClaimUnclear     Reason = "claim_unclear"
 	KeepsFailing     Reason = "keeps_failing"
+	// UnknownKey means that nothing is recorded under the key now.
+	UnknownKey Reason = "unknown_key"
+	// Abandoned means that the entry that took the request ended before it was sent.
+	Abandoned Reason = "abandoned"
+	// WorkerReplaced means that the process that may have run the request is gone.
+	WorkerReplaced Reason = "worker_replaced"
+	// WorkerStopped means that the request was stopped after it had begun to run.
+	WorkerStopped Reason = "worker_stopped"
 )
 
 // Reasons returns every Reason in a fixed order.
@@ -35,7 +43,8 @@
 		BadRequest, TooLarge, Unauthorized, UnknownAccount, UnknownService, KeyReused,
 		ImpossibleShape, OverQuota, QueueFull, DeadlineExceeded, NoWorker, WorkersBusy,
 		StoreUnreachable, StoreOverBudget, Leaving, NotReady, Canceled, InProgress,
-		AnswerLost, ClaimUnclear, KeepsFailing,
+		AnswerLost, ClaimUnclear, KeepsFailing, UnknownKey, Abandoned, WorkerReplaced,
+		WorkerStopped,
 	}
 }
 
--- a/quick/quick.go
+++ b/quick/quick.go
@@ -146,7 +146,10 @@
 	case platform.OK:
 		return r.standing(ctx, key, c)
 	case platform.Missing:
-		return outcome.Refuse(key, outcome.NotReady, 0, "no request is known under this key")
+		return outcome.Outcome{
+			Kind: outcome.Unknown, Reason: outcome.UnknownKey, Key: key,
+			Detail: "no request is recorded under this key; one that is on its way may still appear",
+		}
 	default:
 		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.StoreUnreachable, Key: key, Retry: retryAfter}
 	}
