--- /dev/null
+++ b/breaker/breaker.go
@@ -0,0 +1,84 @@
+// Package breaker stops calls to a dependency that fails, and lets single probes
+// through until it answers again.
+//
+// # Usage
+//
+//	b := breaker.New(breaker.Options{Name: "store"})
+//	done, ok := b.Allow()
+//	if !ok { ... } // refuse at once, nothing was called
+//	err := call()
+//	done(err == nil)
+package breaker
+
+import (
+	"errors"
+
+	"github.com/sony/gobreaker/v2"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+)
+
+const (
+	defaultFailures = 5
+	defaultOpen     = clock.Second
+)
+
+var errFailed = errors.New("breaker: the call failed")
+
+// Options configures a Breaker. The zero value is useful.
+type Options struct {
+	// Name is the name of the dependency.
+	Name string
+	// Failures is the number of failures in a row that open the breaker; default 5.
+	Failures int
+	// Open is the time in milliseconds between the opening and a probe; default 1 s.
+	Open clock.Millis
+	// Changed is called on each change with whether calls are stopped now; it may be nil.
+	Changed func(open bool)
+}
+
+// Breaker guards the calls to one dependency. It is safe for concurrent use.
+type Breaker struct {
+	opts Options
+	b    *gobreaker.TwoStepCircuitBreaker[struct{}]
+}
+
+// New returns a breaker that lets calls through.
+func New(opts Options) *Breaker {
+	if opts.Failures == 0 {
+		opts.Failures = defaultFailures
+	}
+	if opts.Open == 0 {
+		opts.Open = defaultOpen
+	}
+	settings := gobreaker.Settings{
+		Name: opts.Name, MaxRequests: 1, Timeout: opts.Open.Duration(),
+		ReadyToTrip: func(c gobreaker.Counts) bool { return int(c.ConsecutiveFailures) >= opts.Failures },
+	}
+	if opts.Changed != nil {
+		settings.OnStateChange = func(_ string, _, to gobreaker.State) { opts.Changed(to == gobreaker.StateOpen) }
+	}
+	return &Breaker{opts: opts, b: gobreaker.NewTwoStepCircuitBreaker[struct{}](settings)}
+}
+
+// Name returns the name of the dependency.
+func (b *Breaker) Name() string { return b.opts.Name }
+
+// Open reports whether calls are stopped now.
+func (b *Breaker) Open() bool { return b.b.State() == gobreaker.StateOpen }
+
+// Allow reports whether a call may be made. When it may, done must be called once
+// with whether the call succeeded.
+func (b *Breaker) Allow() (done func(ok bool), ok bool) {
+	report, err := b.b.Allow()
+	if err != nil {
+		return nil, false
+	}
+	return func(ok bool) {
+		if ok {
+			report(nil)
+			return
+		}
+		report(errFailed)
+	}, true
+}
--- /dev/null
+++ b/breaker/breaker_test.go
@@ -0,0 +1,44 @@
+package breaker_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/breaker"
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+func TestBreaker(t *testing.T) { suite.Run(t, "breaker") }
+
+var _ = Describe("a breaker", func() {
+	It("opens after failures in a row, lets one probe through and closes when it works", func() {
+		var changes []bool
+		b := breaker.New(breaker.Options{
+			Name: "store", Failures: 3, Open: 30,
+			Changed: func(open bool) { changes = append(changes, open) },
+		})
+		for _, ok := range []bool{false, false, true, false, false, false} {
+			done, allowed := b.Allow()
+			Expect(allowed).To(BeTrue())
+			done(ok)
+		}
+		_, allowed := b.Allow()
+		Expect(allowed).To(BeFalse())
+		Expect(b.Open()).To(BeTrue())
+
+		var probe func(bool)
+		Eventually(func() bool {
+			probe, allowed = b.Allow()
+			return allowed
+		}).WithTimeout(5 * time.Second).Should(BeTrue())
+		_, allowed = b.Allow()
+		Expect(allowed).To(BeFalse(), "a second call beside the probe")
+		probe(true)
+		_, allowed = b.Allow()
+		Expect(allowed).To(BeTrue())
+		Expect(changes).To(Equal([]bool{true, false, false}))
+	})
+})
