quick, claim: settle every claim before saying notrun, and fence before a second attempt

Cause: the outcome of a claim whose write was unclear, whose entry died or whose worker lost the answer was guessed from one look; a worker that had been replaced looked as if the request had never run; nothing bounded queues, retries or the number of claims. Change: claims name the worker's process and attempt and change only by the events of claim/life.go; an unclear write is repeated until it has won or lost; any entry settles a claim by fencing the attempt at its worker (Stop with Fence) and writing a tombstone; answers are matched by identity, attempt and hash; queues by account and class, slots by class, shares of connections, power of two choices, hedging, quarantine, background recording, expiry by bucket.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -7,7 +7,7 @@
 //	done, ok := b.Allow()
 //	if !ok { ... } // refuse at once, nothing was called
 //	err := call()
-//	done(err == nil)
+//	done(breaker.ResultOf(err == nil))
 package breaker
 
 import (
@@ -23,7 +23,31 @@
 	defaultOpen     = clock.Second
 )
 
-var errFailed = errors.New("breaker: the call failed")
+var (
+	errFailed  = errors.New("breaker: the call failed")
+	errNeither = errors.New("breaker: the call tells nothing")
+)
+
+// Result is what a call showed of its dependency.
+type Result int
+
+// The results of a call.
+const (
+	// Worked means that the dependency answered.
+	Worked Result = iota
+	// Broke means that it failed or did not answer in its own time.
+	Broke
+	// Neither means that the caller gave up first, which shows nothing.
+	Neither
+)
+
+// ResultOf returns Worked or Broke.
+func ResultOf(ok bool) Result {
+	if ok {
+		return Worked
+	}
+	return Broke
+}
 
 // Options configures a Breaker. The zero value is useful.
 type Options struct {
@@ -54,6 +78,7 @@
 	settings := gobreaker.Settings{
 		Name: opts.Name, MaxRequests: 1, Timeout: opts.Open.Duration(),
 		ReadyToTrip: func(c gobreaker.Counts) bool { return int(c.ConsecutiveFailures) >= opts.Failures },
+		IsExcluded:  func(err error) bool { return errors.Is(err, errNeither) },
 	}
 	if opts.Changed != nil {
 		settings.OnStateChange = func(_ string, _, to gobreaker.State) { opts.Changed(to == gobreaker.StateOpen) }
@@ -68,17 +93,20 @@
 func (b *Breaker) Open() bool { return b.b.State() == gobreaker.StateOpen }
 
 // Allow reports whether a call may be made. When it may, done must be called once
-// with whether the call succeeded.
-func (b *Breaker) Allow() (done func(ok bool), ok bool) {
+// with what the call showed.
+func (b *Breaker) Allow() (done func(Result), ok bool) {
 	report, err := b.b.Allow()
 	if err != nil {
 		return nil, false
 	}
-	return func(ok bool) {
-		if ok {
+	return func(r Result) {
+		switch r {
+		case Worked:
 			report(nil)
-			return
+		case Broke:
+			report(errFailed)
+		default:
+			report(errNeither)
 		}
-		report(errFailed)
 	}, true
 }
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -23,22 +23,32 @@
 		for _, ok := range []bool{false, false, true, false, false, false} {
 			done, allowed := b.Allow()
 			Expect(allowed).To(BeTrue())
-			done(ok)
+			done(breaker.ResultOf(ok))
 		}
 		_, allowed := b.Allow()
 		Expect(allowed).To(BeFalse())
 		Expect(b.Open()).To(BeTrue())
 
-		var probe func(bool)
+		var probe func(breaker.Result)
 		Eventually(func() bool {
 			probe, allowed = b.Allow()
 			return allowed
 		}).WithTimeout(5 * time.Second).Should(BeTrue())
 		_, allowed = b.Allow()
 		Expect(allowed).To(BeFalse(), "a second call beside the probe")
-		probe(true)
+		probe(breaker.Worked)
 		_, allowed = b.Allow()
 		Expect(allowed).To(BeTrue())
 		Expect(changes).To(Equal([]bool{true, false, false}))
 	})
+
+	It("does not open for callers that give up early", func() {
+		b := breaker.New(breaker.Options{Failures: 2})
+		for range 10 {
+			done, allowed := b.Allow()
+			Expect(allowed).To(BeTrue())
+			done(breaker.Neither)
+		}
+		Expect(b.Open()).To(BeFalse())
+	})
 })
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -2,10 +2,21 @@
 // request is claimed in the platform's store, by creating a key, before anything
 // is sent to a worker.
 //
+// A claim goes through these states, each change a compare-and-swap on the version
+// of the one before:
+//
+//	taken ----> taken by another worker (Attempt+1, after the first certainly did not run it)
+//	taken ----> ended (Outcome done or failed)
+//	taken ----> unknown (Outcome unknown; may still become ended)
+//	taken ----> tombstone (Outcome notrun) ----> taken again (Attempt+1)
+//
+// A tombstone takes the place of the claim, so a delayed write of an older state
+// can no longer land.
+//
 // # Usage
 //
 //	b := claim.New(claim.Options{Store: store})
-//	c, err := b.Take(ctx, claim.Claim{Account: "kulhar", Key: "refund-1", Hash: h, Worker: "a-1"})
+//	c, err := b.Take(ctx, claim.Claim{Account: "kulhar", Key: "refund-1", Hash: h, Worker: "a-1", Attempt: 1})
 //	if err != nil { ... } // nothing may be sent
 //	if !c.Own { ... }     // somebody claimed it before: c tells who runs it where
 package claim
@@ -14,16 +25,25 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 
+	"github.com/chestnutsail/chestnutsail/breaker"
+	"github.com/chestnutsail/chestnutsail/budget"
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/counters"
 	"github.com/chestnutsail/chestnutsail/outcome"
 	"github.com/chestnutsail/chestnutsail/platform"
 )
 
+// ErrOpen is the cause of a refusal while the store is not called because it fails.
+var ErrOpen = errors.New("claim: the store fails and is not called now")
+
 // Store is what claims need of the platform's store.
 type Store interface {
 	Put(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
 	Get(ctx context.Context, key string) (platform.Entry, error)
+	List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error)
+	Commit(ctx context.Context, ops []platform.Op) ([]uint64, error)
 }
 
 // Claim is the durable mark that a request has been taken to be run.
@@ -32,24 +52,36 @@
 	Key     string `json:"key"`
 	// Hash is the hash of the request, to tell another request under a used key.
 	Hash string `json:"hash"`
-	// Token tells the claimer's own write from others'.
+	// Token tells one write of the claim from all others.
 	Token string `json:"token"`
-	// Worker and Attempt say where the request was sent.
-	Worker  string       `json:"worker"`
-	Attempt int          `json:"attempt"`
-	Taken   clock.Millis `json:"taken"`
+	// Worker, Address and Incarnation name the process that the request is sent to,
+	// and Attempt the only attempt that may be sent there.
+	Worker      string       `json:"worker"`
+	Address     string       `json:"address"`
+	Incarnation string       `json:"incarnation"`
+	Attempt     int          `json:"attempt"`
+	Taken       clock.Millis `json:"taken"`
 	// Outcome is set once the request has ended.
 	Outcome *outcome.Outcome `json:"outcome,omitempty"`
 
 	// Version is the claim's version in the store.
 	Version uint64 `json:"-"`
-	// Own reports whether this Take made the claim.
+	// Own reports whether this Take or Update made the claim what it is.
 	Own bool `json:"-"`
 }
 
+// Tombstone reports whether the claim says that the request did not run.
+func (c Claim) Tombstone() bool { return c.Outcome != nil && c.Outcome.Kind == outcome.NotRun }
+
 // Options configures a Book.
 type Options struct {
 	Store Store
+	// Breaker guards the store; nil means one of its own.
+	Breaker *breaker.Breaker
+	// Budget bounds retries; nil means one of its own.
+	Budget *budget.Budget
+	// Counters counts retries; nil means a set of its own.
+	Counters *counters.Counters
 	// Clock defaults to the machine's.
 	Clock *clock.Clock
 }
@@ -62,61 +94,133 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.New()
 	}
+	if opts.Breaker == nil {
+		opts.Breaker = breaker.New(breaker.Options{Name: "store"})
+	}
+	if opts.Budget == nil {
+		opts.Budget = budget.New(budget.Options{})
+	}
+	if opts.Counters == nil {
+		opts.Counters = counters.New()
+	}
 	return &Book{opts: opts}
 }
 
 // Take claims a request. When it was claimed before, the standing claim is
 // returned with Own false. An error of kind platform.Refused means that the claim
-// was certainly not made; platform.Ambiguous, that it may still appear.
+// was certainly not made; any other, that it may stand or still appear.
 func (b *Book) Take(ctx context.Context, c Claim) (Claim, error) {
-	c.Token = rand.Text()
+	c.Version = 0
 	c.Taken = b.opts.Clock.Now()
-	version, err := b.put(ctx, c, 0)
-	switch platform.KindOf(err) {
-	case platform.OK:
-		c.Version, c.Own = version, true
-		return c, nil
-	case platform.Refused:
-		return c, err
-	}
-	standing, readErr := b.Find(ctx, c.Account, c.Key)
-	if readErr != nil {
-		return c, &platform.Error{Op: "claim", Key: key(c.Account, c.Key), Kind: platform.Ambiguous, Err: readErr}
+	standing, err := b.write(ctx, c)
+	if platform.KindOf(err) == platform.Conflict && standing.Version != 0 {
+		return standing, nil
 	}
-	standing.Own = standing.Token == c.Token
-	return standing, nil
+	return standing, err
 }
 
 // Find returns the standing claim of a key, or an error of kind platform.Missing.
 func (b *Book) Find(ctx context.Context, account, name string) (Claim, error) {
-	entry, err := b.opts.Store.Get(ctx, key(account, name))
+	k := Key(account, name)
+	var entry platform.Entry
+	err := b.guard(ctx, "find", k, func() (err error) {
+		entry, err = b.opts.Store.Get(ctx, k)
+		return err
+	})
 	if err != nil {
 		return Claim{}, err
 	}
-	var c Claim
-	if err := json.Unmarshal(entry.Value, &c); err != nil {
+	return decode(entry)
+}
+
+// write puts c in place of version c.Version. A write whose answer was lost is
+// repeated with the same token until it has won, has lost, or the deadline or the
+// retry budget ends: a delayed earlier write of it can then no longer land.
+func (b *Book) write(ctx context.Context, c Claim) (Claim, error) {
+	c.Token = rand.Text()
+	value, err := json.Marshal(c)
+	if err != nil {
 		return Claim{}, err
 	}
-	c.Version = entry.Version
-	return c, nil
+	unclear := false
+	for try := 1; ; try++ {
+		version, err := b.put(ctx, c, value)
+		switch platform.KindOf(err) {
+		case platform.OK:
+			c.Version, c.Own = version, true
+			return c, nil
+		case platform.Refused:
+			if !unclear {
+				return Claim{}, err
+			}
+		case platform.Conflict:
+			standing, settled := b.standing(ctx, c)
+			if settled || !unclear {
+				return standing, conflictUnlessOwn(standing, err)
+			}
+		default:
+			unclear = true
+		}
+		if !b.opts.Budget.Retry(ctx, try) {
+			return Claim{}, &platform.Error{Op: "claim", Key: Key(c.Account, c.Key), Kind: platform.Ambiguous, Err: err}
+		}
+		b.opts.Counters.Retried(outcome.RetryStoreUnclear)
+	}
 }
 
-// Update replaces the claim c by its changed value if nobody changed it since.
-func (b *Book) Update(ctx context.Context, c Claim) (Claim, error) {
-	version, err := b.put(ctx, c, c.Version)
-	if err != nil {
-		return c, err
+// standing reads what stands after a conflict, and reports whether that is newer
+// than what c was to replace.
+func (b *Book) standing(ctx context.Context, c Claim) (Claim, bool) {
+	standing, err := b.Find(ctx, c.Account, c.Key)
+	if err != nil || standing.Version <= c.Version {
+		return Claim{}, false
 	}
-	c.Version = version
-	return c, nil
+	standing.Own = standing.Token == c.Token
+	return standing, true
 }
 
-func (b *Book) put(ctx context.Context, c Claim, version uint64) (uint64, error) {
-	value, err := json.Marshal(c)
-	if err != nil {
-		return 0, err
+func conflictUnlessOwn(standing Claim, conflict error) error {
+	if standing.Own {
+		return nil
+	}
+	return conflict
+}
+
+func (b *Book) put(ctx context.Context, c Claim, value []byte) (version uint64, err error) {
+	k := Key(c.Account, c.Key)
+	err = b.guard(ctx, "claim", k, func() (err error) {
+		version, err = b.opts.Store.Put(ctx, k, c.Version, value)
+		return err
+	})
+	return version, err
+}
+
+// guard makes one call of the store unless the breaker is open.
+func (b *Book) guard(ctx context.Context, op, k string, call func() error) error {
+	done, ok := b.opts.Breaker.Allow()
+	if !ok {
+		return &platform.Error{Op: op, Key: k, Kind: platform.Refused, Err: ErrOpen}
+	}
+	err := call()
+	switch platform.KindOf(err) {
+	case platform.OK, platform.Conflict, platform.Missing:
+		b.opts.Budget.Succeed()
+		done(breaker.Worked)
+	default:
+		if ctx.Err() != nil {
+			done(breaker.Neither)
+			break
+		}
+		done(breaker.Broke)
 	}
-	return b.opts.Store.Put(ctx, key(c.Account, c.Key), version, value)
+	return err
 }
 
-func key(account, name string) string { return "claim/" + account + "/" + name }
+func decode(entry platform.Entry) (Claim, error) {
+	var c Claim
+	if err := json.Unmarshal(entry.Value, &c); err != nil {
+		return Claim{}, err
+	}
+	c.Version = entry.Version
+	return c, nil
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,11 +17,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/chestnutsail/chestnutsail/budget"
 	"github.com/chestnutsail/chestnutsail/caller"
 	"github.com/chestnutsail/chestnutsail/claim"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/config"
 	"github.com/chestnutsail/chestnutsail/counters"
+	"github.com/chestnutsail/chestnutsail/expiry"
 	"github.com/chestnutsail/chestnutsail/instances"
 	"github.com/chestnutsail/chestnutsail/kernel"
 	"github.com/chestnutsail/chestnutsail/operator"
@@ -100,12 +102,22 @@
 	store := platform.New(platform.Config{Address: s.Store})
 	holder := config.New(config.Options{Store: store, Log: e.log})
 	directory := instances.New(instances.Options{Source: store, Domain: s.Domain, Log: e.log})
-	claims := claim.New(claim.Options{Store: store, Clock: clk})
-	router := quick.New(quick.Options{Workers: directory, Claims: claims, Counters: count, Log: e.log})
+	retries := budget.New(budget.Options{Clock: clk})
+	claims := claim.New(claim.Options{Store: store, Clock: clk, Budget: retries, Counters: count})
+	sweeper := expiry.New(expiry.Options{Book: claims, Log: e.log})
+	router := quick.New(quick.Options{
+		Workers: directory, Claims: claims, Counters: count, Budget: retries, Clock: clk, Log: e.log,
+		Weight: func(name string) int {
+			account, _ := holder.Now().Text.Account(name)
+			return account.Weight
+		},
+	})
 	e.kernel.Add("store", store)
 	e.kernel.Add("config", holder)
 	e.kernel.Add("instances", directory)
+	e.kernel.Add("budget", retries)
 	e.kernel.Add("claims", claims)
+	e.kernel.Add("expiry", sweeper)
 	e.kernel.Add("quick", router)
 
 	callers := caller.New(caller.Options{Quick: router, Texts: holder, Tokens: tokens, Counters: count, Log: e.log})
--- /dev/null
+++ b/expiry/expiry.go
@@ -0,0 +1,86 @@
+// Package expiry deletes claims that are past their retention, so that their number
+// in the store stays bounded. All entries share the work without agreeing on it:
+// each reads a random bucket at a time, and deletions are compare-and-swaps.
+//
+// # Usage
+//
+//	s := expiry.New(expiry.Options{Book: book, Entries: liveEntries})
+//	defer s.Stop(ctx)
+package expiry
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/claim"
+	"github.com/chestnutsail/chestnutsail/clock"
+)
+
+const defaultCycle = 2 * clock.Hour
+
+// Options configures a Sweeper.
+type Options struct {
+	Book *claim.Book
+	// Entries returns the number of live entries, which share the work; nil means 1.
+	Entries func() int
+	// Cycle is the time in milliseconds in which all entries together read each
+	// bucket about once; default 2 h.
+	Cycle clock.Millis
+	Log   *logrus.Entry
+}
+
+// Sweeper deletes expired claims, a random bucket at a time.
+type Sweeper struct {
+	opts   Options
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a sweeper that works until Stop.
+func New(opts Options) *Sweeper {
+	if opts.Entries == nil {
+		opts.Entries = func() int { return 1 }
+	}
+	if opts.Cycle == 0 {
+		opts.Cycle = defaultCycle
+	}
+	if opts.Log == nil {
+		opts.Log = logrus.NewEntry(logrus.StandardLogger())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Sweeper{opts: opts, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		for clock.Sleep(ctx, s.pause()) {
+			s.sweep(ctx)
+		}
+	}()
+	return s
+}
+
+// Stop ends the sweeping.
+func (s *Sweeper) Stop(context.Context) error {
+	s.cancel()
+	<-s.done
+	return nil
+}
+
+func (s *Sweeper) sweep(ctx context.Context) {
+	bucket := rand.IntN(claim.Buckets)
+	_, deleted, err := s.opts.Book.Expire(ctx, bucket)
+	if err != nil {
+		s.opts.Log.WithError(err).Debug("expiry: expired claims not deleted")
+		return
+	}
+	if deleted > 0 {
+		s.opts.Log.WithField("claims", deleted).Debug("expiry: expired claims deleted")
+	}
+}
+
+// pause returns a random wait whose mean is this entry's share of the cycle.
+func (s *Sweeper) pause() clock.Millis {
+	mean := s.opts.Cycle * clock.Millis(max(s.opts.Entries(), 1)) / claim.Buckets
+	return max(rand.N(2*mean+1), 1)
+}
--- a/job/job.go
+++ b/job/job.go
@@ -111,6 +111,9 @@
 	Deadline clock.Millis `json:"deadline_ms,omitempty"`
 	Shape    Shape        `json:"shape"`
 	Payload  []byte       `json:"payload,omitempty"`
+	// Again says that the key may have been submitted before. A refusal that can't look
+	// at the earlier submission then is an unknown outcome instead of notrun.
+	Again bool `json:"again,omitempty"`
 }
 
 // ID returns the job's identity, unique within one firm.
@@ -120,9 +123,14 @@
 func (s Spec) Stoppable() bool { return s.Idempotent || s.Checkpoints }
 
 // IsQuick reports whether the request goes straight to a worker's slot instead
-// of through the scheduler.
+// of through the scheduler. That is so for one task without accelerators of the
+// class quick, and for urgent work and sweeps that ask for slots only.
 func (s Spec) IsQuick() bool {
-	return s.Class == Quick && s.Shape.Accelerators == 0 && s.Shape.Count() == 1
+	if s.Shape.Accelerators != 0 || s.Shape.Count() != 1 {
+		return false
+	}
+	slotsOnly := s.Shape.Slots > 0 && s.Shape.Cores == 0 && s.Shape.Memory == 0
+	return s.Class == Quick || slotsOnly && (s.Class == Urgent || s.Class == Sweep)
 }
 
 // Error tells which field of a Spec is wrong.
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -56,6 +56,7 @@
 	RetryWorkerFull    Retry = "worker_full"
 	RetryWorkerRefused Retry = "worker_refused"
 	RetryWorkerLost    Retry = "worker_lost"
+	RetryTaskFailed    Retry = "task_failed"
 	RetryHedge         Retry = "hedge"
 	RetryStoreConflict Retry = "store_conflict"
 	RetryStoreDown     Retry = "store_down"
@@ -67,7 +68,7 @@
 // Retries returns every Retry in a fixed order.
 func Retries() []Retry {
 	return []Retry{
-		RetryWorkerFull, RetryWorkerRefused, RetryWorkerLost, RetryHedge, RetryStoreConflict,
+		RetryWorkerFull, RetryWorkerRefused, RetryWorkerLost, RetryTaskFailed, RetryHedge, RetryStoreConflict,
 		RetryStoreDown, RetryStoreUnclear, RetryPeerLost, RetryGangRefused,
 	}
 }
--- a/quick/quick.go
+++ b/quick/quick.go
@@ -1,6 +1,11 @@
 // Package quick serves quick requests: those that need one slot of a worker and no
 // accelerator. They go straight from the entry to a worker.
 //
+// A request waits for its turn in a queue of its account and class, takes a slot
+// of its class, and goes to the less loaded of two random workers. An idempotent
+// request may be sent again, and twice at a time. Any other is claimed in the
+// store first, naming the worker's process, and sent there once.
+//
 // # Usage
 //
 //	r := quick.New(quick.Options{Workers: directory, Claims: book, Counters: counters})
@@ -10,25 +15,41 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
-	"sync"
+	"errors"
+	"net/http"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/chestnutsail/chestnutsail/admission"
+	"github.com/chestnutsail/chestnutsail/budget"
 	"github.com/chestnutsail/chestnutsail/claim"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/counters"
 	"github.com/chestnutsail/chestnutsail/instances"
 	"github.com/chestnutsail/chestnutsail/job"
 	"github.com/chestnutsail/chestnutsail/outcome"
-	"github.com/chestnutsail/chestnutsail/platform"
-	"github.com/chestnutsail/chestnutsail/worker"
+	"github.com/chestnutsail/chestnutsail/slots"
 )
 
 const (
 	defaultDeadline = 10 * clock.Second
+	maxDeadline     = 10 * clock.Minute
+	defaultEntries  = 9
+	defaultLimit    = 256
+	minRetryAfter   = 100 * clock.Millisecond
 	retryAfter      = 500 * clock.Millisecond
-	maxTries        = 4
+	maxRetryAfter   = 10 * clock.Second
+	// askTime bounds how long Ask looks for the outcome of a request.
+	askTime = 2 * clock.Second
+	// closingTime is how long past its deadline a request may take to settle its claim.
+	closingTime = 500 * clock.Millisecond
+)
+
+// Shares of the slots in percent.
+const (
+	quickFloor   = 50
+	urgentFloor  = 10
+	sweepCeiling = 50
 )
 
 // Workers lists the workers that requests can be sent to.
@@ -37,210 +58,179 @@
 	Worker(name string) (*instances.Worker, bool)
 }
 
-// Options configures a Router.
+// Options configures a Router. Workers and Claims have to be set.
 type Options struct {
-	Workers  Workers
-	Claims   *claim.Book
+	Workers Workers
+	Claims  *claim.Book
+	// Counters counts refusals and retries; nil means a set of its own.
 	Counters *counters.Counters
-	Log      *logrus.Entry
+	// Budget bounds the retries of the process; nil means one of its own.
+	Budget *budget.Budget
+	// Entries returns the number of live entries, which share the workers'
+	// connections; nil means 9.
+	Entries func() int
+	// Weight returns the weight of an account against others; nil means equal weights.
+	Weight func(account string) int
+	// Queue is the number of requests of one account and class that may wait; default 256.
+	Queue int
+	// Hedge is the time in milliseconds after which an idempotent request is sent to a
+	// second worker; 0 follows the answer times of the service, below 0 never.
+	Hedge clock.Millis
+	// Undivided lets every class take every slot.
+	Undivided bool
+	// Transport carries calls to workers of other failure domains; nil means one of its own.
+	Transport http.RoundTripper
+	// Clock defaults to the machine's.
+	Clock *clock.Clock
+	Log   *logrus.Entry
 }
 
 // Router sends quick requests to workers. It is safe for concurrent use.
 type Router struct {
-	opts Options
+	opts     Options
+	queue    *admission.Queue[line]
+	slots    *slots.Pool[job.Class]
+	fleet    *fleet
+	recorder *recorder
+	paces    *paces
+}
 
-	mu       sync.Mutex
-	inFlight map[string]int
+// line is what requests queue by.
+type line struct {
+	account string
+	class   job.Class
 }
 
-// New returns a router.
+// New returns a router that records outcomes in the background until Stop.
 func New(opts Options) *Router {
-	return &Router{opts: opts, inFlight: make(map[string]int)}
+	opts = opts.complete()
+	r := &Router{opts: opts, fleet: newFleet(opts), paces: newPaces(opts.Hedge)}
+	divided := slots.Options[job.Class]{Total: r.fleet.share}
+	if !opts.Undivided {
+		divided.Floor = map[job.Class]int{job.Quick: quickFloor, job.Urgent: urgentFloor}
+		divided.Ceiling = r.ceiling
+	}
+	r.slots = slots.New(divided)
+	r.queue = admission.New(admission.Options[line]{
+		Take:   func(l line) bool { return r.slots.Take(l.class) },
+		Give:   func(l line) { r.slots.Give(l.class) },
+		Weight: func(l line) int { return opts.Weight(l.account) },
+		Limit:  opts.Queue, Clock: opts.Clock,
+	})
+	r.recorder = newRecorder(opts, r.agent)
+	return r
+}
+
+func (o Options) complete() Options {
+	if o.Counters == nil {
+		o.Counters = counters.New()
+	}
+	if o.Budget == nil {
+		o.Budget = budget.New(budget.Options{})
+	}
+	if o.Entries == nil {
+		o.Entries = func() int { return defaultEntries }
+	}
+	if o.Weight == nil {
+		o.Weight = func(string) int { return 1 }
+	}
+	if o.Queue == 0 {
+		o.Queue = defaultLimit
+	}
+	if o.Transport == nil {
+		o.Transport = &http.Transport{MaxIdleConnsPerHost: 2}
+	}
+	if o.Clock == nil {
+		o.Clock = clock.New()
+	}
+	if o.Log == nil {
+		o.Log = logrus.NewEntry(logrus.StandardLogger())
+	}
+	return o
 }
 
-// Submit runs a quick request and returns its outcome.
+// Stop ends the recording of outcomes, after a last try of each that is left.
+func (r *Router) Stop(ctx context.Context) error { return r.recorder.stop(ctx) }
+
+// Submit runs a quick request and returns its outcome, within the deadline of the
+// request or of ctx, whichever is earlier.
 func (r *Router) Submit(ctx context.Context, s job.Spec) outcome.Outcome {
-	deadline := s.Deadline
-	if deadline == 0 {
+	deadline := min(s.Deadline, maxDeadline)
+	if deadline <= 0 {
 		deadline = defaultDeadline
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline.Duration())
 	defer cancel()
+	p := &pass{router: r, spec: s}
+	if refused := p.enter(ctx); refused != nil {
+		return *refused
+	}
+	defer p.leave()
 	if s.Idempotent {
 		return r.runIdempotent(ctx, s)
 	}
-	return r.runOnce(ctx, s)
+	return r.runOnce(ctx, p)
 }
 
-// runIdempotent tries workers until one runs the request.
-func (r *Router) runIdempotent(ctx context.Context, s job.Spec) outcome.Outcome {
-	tried := make(map[string]bool)
-	for try := 1; try <= maxTries && ctx.Err() == nil; try++ {
-		w, ok := r.pick(tried)
-		if !ok {
-			break
-		}
-		tried[w.Name] = true
-		t, err := r.send(ctx, w, s, try)
-		if err == nil {
-			return ended(s, w.Name, t)
-		}
-		r.opts.Counters.Retried(retryReason(err))
-	}
-	if ctx.Err() != nil {
-		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.DeadlineExceeded, Key: s.Key}
-	}
-	if len(tried) == 0 {
-		return outcome.Refuse(s.Key, outcome.NoWorker, retryAfter, "no worker of this failure domain is listed")
-	}
-	return outcome.Refuse(s.Key, outcome.WorkersBusy, retryAfter, "every worker tried was full")
+// pass is a request's place past the queue.
+type pass struct {
+	router *Router
+	spec   job.Spec
+	inside bool
 }
 
-// runOnce claims the request, sends it to one worker and records how it ended.
-func (r *Router) runOnce(ctx context.Context, s job.Spec) outcome.Outcome {
-	w, ok := r.pick(nil)
-	if !ok {
-		return outcome.Refuse(s.Key, outcome.NoWorker, retryAfter, "no worker of this failure domain is listed")
-	}
-	c := claim.Claim{Account: s.Account, Key: s.Key, Hash: Hash(s), Worker: w.Name, Attempt: 1}
-	c, err := r.opts.Claims.Take(ctx, c)
-	switch platform.KindOf(err) {
-	case platform.OK:
-	case platform.Refused:
-		return outcome.Refuse(s.Key, outcome.StoreUnreachable, retryAfter, "the request could not be claimed")
-	default:
-		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.ClaimUnclear, Key: s.Key, Retry: retryAfter}
-	}
-	if c.Hash != Hash(s) {
-		return outcome.Refuse(s.Key, outcome.KeyReused, 0, "the key was used for another request")
+// enter waits for the request's turn and returns nil, or the refusal.
+func (p *pass) enter(ctx context.Context) *outcome.Outcome {
+	s, q := p.spec, p.router.queue
+	if len(p.router.opts.Workers.Workers()) == 0 {
+		o := refuseUnread(s, outcome.NoWorker, retryAfter, "no worker of this failure domain is listed")
+		return &o
 	}
-	if !c.Own {
-		return r.standing(ctx, s.Key, c)
-	}
-	t, err := r.send(ctx, w, s, c.Attempt)
-	return r.conclude(ctx, s, c, t, err)
-}
-
-// conclude records how a claimed request ended.
-func (r *Router) conclude(ctx context.Context, s job.Spec, c claim.Claim, t worker.Task, err error) outcome.Outcome {
-	var o outcome.Outcome
+	err := q.Enter(ctx, line{s.Account, s.Class})
 	switch {
 	case err == nil:
-		o = ended(s, c.Worker, t)
-	case worker.NotSent(err):
-		o = outcome.Refuse(s.Key, outcome.WorkersBusy, 0, "the worker did not take the request")
+		p.inside = true
+		return nil
+	case errors.Is(err, admission.ErrFull):
+		delay := min(max(q.Delay(), minRetryAfter), maxRetryAfter)
+		o := refuseUnread(s, outcome.QueueFull, delay, "too many requests of the account wait in this class")
+		return &o
 	default:
-		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.AnswerLost, Key: s.Key, Worker: c.Worker, Retry: retryAfter}
-	}
-	c.Outcome = &o
-	if _, err := r.opts.Claims.Update(ctx, c); err != nil {
-		r.opts.Log.WithError(err).Warn("quick: outcome not recorded")
-	}
-	return o
-}
-
-// Ask returns the outcome of a request by its key.
-func (r *Router) Ask(ctx context.Context, account, key string) outcome.Outcome {
-	c, err := r.opts.Claims.Find(ctx, account, key)
-	switch platform.KindOf(err) {
-	case platform.OK:
-		return r.standing(ctx, key, c)
-	case platform.Missing:
-		return outcome.Outcome{
-			Kind: outcome.Unknown, Reason: outcome.UnknownKey, Key: key,
-			Detail: "no request is recorded under this key; one that is on its way may still appear",
-		}
-	default:
-		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.StoreUnreachable, Key: key, Retry: retryAfter}
+		o := refuseUnread(s, outcome.DeadlineExceeded, retryAfter, "the deadline ended before the request's turn")
+		return &o
 	}
 }
 
-// standing answers from a claim that was made before.
-func (r *Router) standing(ctx context.Context, key string, c claim.Claim) outcome.Outcome {
-	if c.Outcome != nil {
-		return *c.Outcome
+func (p *pass) leave() {
+	if p.inside {
+		p.router.queue.Leave(line{p.spec.Account, p.spec.Class})
+		p.inside = false
 	}
-	lost := outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.InProgress, Key: key, Worker: c.Worker, Retry: retryAfter}
-	w, ok := r.opts.Workers.Worker(c.Worker)
-	if !ok {
-		return lost
-	}
-	t, err := w.Client.Task(ctx, c.Account+"/"+c.Key)
-	if err != nil || t.State.Holds() {
-		return lost
-	}
-	o := ended(job.Spec{Key: key}, c.Worker, t)
-	c.Outcome = &o
-	if _, err := r.opts.Claims.Update(ctx, c); err != nil {
-		r.opts.Log.WithError(err).Warn("quick: outcome not recorded")
-	}
-	return o
-}
-
-func (r *Router) send(ctx context.Context, w *instances.Worker, s job.Spec, attempt int) (worker.Task, error) {
-	r.count(w.Name, 1)
-	defer r.count(w.Name, -1)
-	needs := s.Shape.Resources(1)
-	needs.Slots = max(needs.Slots, 1)
-	return w.Client.Run(ctx, worker.Task{ID: s.ID(), Attempt: attempt, Tasks: 1, Needs: needs, Payload: s.Payload})
 }
 
-// pick takes the less loaded of two random workers that were not tried.
-func (r *Router) pick(tried map[string]bool) (*instances.Worker, bool) {
-	var open []*instances.Worker
-	for _, w := range r.opts.Workers.Workers() {
-		if !w.Leaving && !tried[w.Name] {
-			open = append(open, w)
-		}
+// ceiling returns the most slots that a class may hold at this entry, so that all
+// entries together leave the rest of the workers' slots to other classes.
+func (r *Router) ceiling(c job.Class) int {
+	if c != job.Sweep {
+		return r.fleet.share()
 	}
-	if len(open) == 0 {
-		return nil, false
-	}
-	a, b := open[rand.IntN(len(open))], open[rand.IntN(len(open))]
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.inFlight[b.Name] < r.inFlight[a.Name] {
-		return b, true
-	}
-	return a, true
+	return max(1, r.fleet.slots()*sweepCeiling/100/max(r.opts.Entries(), 1))
 }
 
-func (r *Router) count(name string, d int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[name] += d
-	if r.inFlight[name] == 0 {
-		delete(r.inFlight, name)
+// refuseUnread refuses a request before its claim was looked at. What may have
+// been submitted before under the same key may have run, so that is unknown.
+func refuseUnread(s job.Spec, reason outcome.Reason, retry clock.Millis, detail string) outcome.Outcome {
+	o := outcome.Refuse(s.Key, reason, retry, detail)
+	o.Account = s.Account
+	if s.Again && !s.Idempotent {
+		o.Kind = outcome.Unknown
 	}
+	return o
 }
 
 // Hash returns the hash that tells a repeated request from another one.
 func Hash(s job.Spec) string {
-	s.Deadline = 0
+	s.Deadline, s.Declared, s.Again = 0, 0, false
 	body, _ := json.Marshal(s)
 	return outcome.Hash(body)
 }
-
-func ended(s job.Spec, name string, t worker.Task) outcome.Outcome {
-	o := outcome.Outcome{Account: s.Account, Key: s.Key, Attempt: t.Attempt, Worker: name}
-	switch t.State {
-	case worker.Finished:
-		o.Kind = outcome.Done
-	case worker.Failed:
-		o.Kind = outcome.Failed
-	default:
-		return outcome.Refuse(s.Key, outcome.Canceled, 0, "the request was stopped before it ran")
-	}
-	return o.Seal(t.Result)
-}
-
-func retryReason(err error) outcome.Retry {
-	switch {
-	case worker.RefusalOf(err) == worker.Full:
-		return outcome.RetryWorkerFull
-	case worker.RefusalOf(err) != "":
-		return outcome.RetryWorkerRefused
-	default:
-		return outcome.RetryWorkerLost
-	}
-}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -58,6 +58,8 @@
 	Absent  Refusal = "absent"  // no such task or reservation
 	Leaving Refusal = "leaving" // the worker takes no new tasks
 	Bad     Refusal = "bad"     // the call is malformed
+	// Replaced means that the call was meant for an earlier process of the worker.
+	Replaced Refusal = "replaced"
 )
 
 // Task is a piece of work on a worker: one quick request, or the part of a gang
@@ -76,9 +78,19 @@
 	// Checkpoint is where to resume from, and after a stop where the work was left.
 	Checkpoint string `json:"checkpoint,omitempty"`
 
-	// State, Result and Used are filled in by the worker.
-	State  State  `json:"state,omitempty"`
+	// Incarnation names the process of the worker. A call that carries one is refused
+	// as Replaced by any other process; "" reaches whichever runs.
+	Incarnation string `json:"incarnation,omitempty"`
+	// Keep asks the worker to keep a quick task after its end until Release.
+	Keep bool `json:"keep,omitempty"`
+
+	// State, Ran, Result, Hash and Used are filled in by the worker.
+	State State `json:"state,omitempty"`
+	// Ran reports whether the task ever began to run.
+	Ran    bool   `json:"ran,omitempty"`
 	Result []byte `json:"result,omitempty"`
+	// Hash is the hash of Result as in outcome.Hash.
+	Hash string `json:"hash,omitempty"`
 	// Used is the time in milliseconds that the task has been running unthrottled.
 	Used clock.Millis `json:"used_ms,omitempty"`
 }
@@ -89,6 +101,11 @@
 	Attempt int          `json:"attempt"`
 	Term    int64        `json:"term"`
 	Grace   clock.Millis `json:"grace_ms,omitempty"`
+	// Fence only keeps an attempt from starting: one that the worker has seen is left
+	// alone and returned as it is.
+	Fence bool `json:"fence,omitempty"`
+	// Incarnation is as in Task.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // Renewal extends one lease.
@@ -100,10 +117,12 @@
 
 // Report is the state of a whole worker, with the usage as of a moment ago.
 type Report struct {
-	Name    string        `json:"name"`
-	Free    job.Resources `json:"free"`
-	Leaving bool          `json:"leaving,omitempty"`
-	Tasks   []Task        `json:"tasks"`
+	Name string `json:"name"`
+	// Incarnation changes whenever the worker's process is replaced.
+	Incarnation string        `json:"incarnation"`
+	Free        job.Resources `json:"free"`
+	Leaving     bool          `json:"leaving,omitempty"`
+	Tasks       []Task        `json:"tasks"`
 }
 
 // Error tells which call to which worker failed.
--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -6,28 +6,46 @@
 	"time"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/outcome"
 	"github.com/chestnutsail/chestnutsail/worker"
 )
 
 // run runs a quick task to its end. A known ID is answered from what is known.
 func (s *Server) run(in worker.Task) (worker.Task, worker.Refusal) {
+	t, no := s.begin(in)
+	if no != "" {
+		return worker.Task{}, no
+	}
+	<-t.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !t.Keep && s.tasks[t.ID] == t {
+		delete(s.tasks, t.ID)
+	}
+	return s.shown(t), ""
+}
+
+// begin starts a quick task, or finds it when its ID is known.
+func (s *Server) begin(in worker.Task) (*task, worker.Refusal) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replaced(in.Incarnation) {
+		return nil, worker.Replaced
+	}
 	t, known := s.tasks[in.ID]
 	if known && in.Attempt < t.Attempt {
-		s.mu.Unlock()
-		return worker.Task{}, worker.Fenced
+		return nil, worker.Fenced
 	}
-	if !known || (in.Attempt > t.Attempt && !t.State.Holds() && t.State != worker.Finished) {
-		if no := s.admit(in); no != "" {
-			s.mu.Unlock()
-			return worker.Task{}, no
-		}
-		t = s.add(in, worker.Running)
-		s.execute(t)
+	if known && (in.Attempt == t.Attempt || t.State.Holds() || t.State == worker.Finished) {
+		return t, ""
 	}
-	s.mu.Unlock()
-	<-t.done
-	return s.lookup(in.ID)
+	if no := s.admit(in); no != "" {
+		return nil, no
+	}
+	t = s.add(in, worker.Running)
+	s.execute(t)
+	s.extend(t, in.Lease)
+	return t, ""
 }
 
 // reserve holds capacity for a task.
@@ -97,6 +115,9 @@
 
 // stop ends a task. Stubborn work uses up the whole grace and leaves no checkpoint.
 func (s *Server) stop(in worker.Stop) (worker.Task, worker.Refusal) {
+	if in.Fence {
+		return s.fence(in)
+	}
 	s.mu.Lock()
 	t, known := s.tasks[in.ID]
 	if s.fenced(in.ID, in.Attempt, in.Term) {
@@ -286,6 +307,9 @@
 
 func (s *Server) shown(t *task) worker.Task {
 	out := t.Task
+	out.Incarnation = s.incarnation
+	out.Ran = t.entry >= 0
+	out.Hash = outcome.Hash(out.Result)
 	if t.State == worker.Running {
 		out.Used = s.used(t)
 	}
--- a/workertest/workertest.go
+++ b/workertest/workertest.go
@@ -12,6 +12,7 @@
 package workertest
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -70,8 +71,9 @@
 
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
 type Server struct {
-	opts Options
-	mux  *http.ServeMux
+	opts        Options
+	incarnation string
+	mux         *http.ServeMux
 
 	mu      sync.Mutex
 	faults  Faults
@@ -101,7 +103,7 @@
 		opts.Clock = clock.New()
 	}
 	s := &Server{
-		opts: opts, mux: http.NewServeMux(), free: opts.Capacity,
+		opts: opts, incarnation: rand.Text(), mux: http.NewServeMux(), free: opts.Capacity,
 		tasks: make(map[string]*task), thaw: make(chan struct{}),
 	}
 	handle(s, "/v1/run", s.run)
@@ -158,7 +160,7 @@
 func (s *Server) Report() worker.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := worker.Report{Name: s.opts.Name, Free: s.free, Leaving: s.leaving, Tasks: []worker.Task{}}
+	r := worker.Report{Name: s.opts.Name, Incarnation: s.incarnation, Free: s.free, Leaving: s.leaving, Tasks: []worker.Task{}}
 	for _, t := range s.tasks {
 		r.Tasks = append(r.Tasks, s.shown(t))
 	}
