dispatch: accept, start, renew and finish jobs as whole gangs

Cause: only quick requests were served; a job had no record, no scheduler and no gang. The agent's renewal now covers all whole gang tasks of a worker at once. The store's stand-in takes at most 64 ops, names the ops in conflict, lists keys and wakes watches on deletions. Ruled out: a renewal per task and a poll of reports; both grow with tasks and with the rate of asking.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -6,7 +6,7 @@
 //	mux.Handle("/v1/requests", c)
 //
 // POST /v1/requests submits a request, GET /v1/requests/{key} asks for its
-// outcome. The account is the one of the bearer token.
+// outcome, DELETE /v1/requests/{key} cancels a job. The account is the one of the bearer token.
 package caller
 
 import (
@@ -40,7 +40,9 @@
 
 // Options configures a Handler.
 type Options struct {
-	Quick    Submitter
+	Quick Submitter
+	// Jobs serves all that is not quick; nil means that Quick serves everything.
+	Jobs     Jobs
 	Texts    Texts
 	Tokens   *token.Secrets
 	Counters *counters.Counters
@@ -72,6 +74,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/requests", h.submit)
 	mux.HandleFunc("GET /v1/requests/{key}", h.ask)
+	mux.HandleFunc("DELETE /v1/requests/{key}", h.cancel)
 	h.http = alice.New(h.authorize).Then(mux)
 	return h
 }
@@ -109,12 +112,12 @@
 		h.answer(w, *refused)
 		return
 	}
-	h.answer(w, h.opts.Quick.Submit(r.Context(), s))
+	h.answer(w, h.submitter(s).Submit(r.Context(), s))
 }
 
 func (h *Handler) ask(w http.ResponseWriter, r *http.Request) {
 	account, _ := r.Context().Value(accountKey{}).(string)
-	h.answer(w, h.opts.Quick.Ask(r.Context(), account, r.PathValue("key")))
+	h.answer(w, h.find(r.Context(), account, r.PathValue("key")))
 }
 
 // spec completes a request from the text in force and checks it.
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -95,3 +95,6 @@
 		return true
 	}
 }
+
+// NewTicker returns a ticker of real time with a period of d milliseconds.
+func NewTicker(d Millis) *time.Ticker { return time.NewTicker(d.Duration()) }
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -1,12 +1,16 @@
 package e2e_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -76,3 +80,52 @@
 	GinkgoHelper()
 	Eventually(check).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(Succeed())
 }
+
+// call makes one HTTP call and returns the body of its answer.
+func call(method, url, token string, body any) ([]byte, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
+
+// freePorts returns the first of n successive loopback addresses that nothing listens on.
+func freePorts(n int) string {
+	GinkgoHelper()
+	for range 100 {
+		first := freeAddress()
+		free := true
+		for i := range n {
+			l, err := net.Listen("tcp", shift(first, i))
+			if free = free && err == nil; err == nil {
+				l.Close()
+			}
+		}
+		if free {
+			return first
+		}
+	}
+	Fail("no successive ports are free")
+	return ""
+}
+
+// shift returns the address i ports further on.
+func shift(address string, i int) string {
+	GinkgoHelper()
+	host, port, err := net.SplitHostPort(address)
+	Expect(err).NotTo(HaveOccurred())
+	n, err := strconv.Atoi(port)
+	Expect(err).NotTo(HaveOccurred())
+	return net.JoinHostPort(host, strconv.Itoa(n+i))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,7 +108,9 @@
 	e.kernel.Add("claims", claims)
 	e.kernel.Add("quick", router)
 
-	callers := caller.New(caller.Options{Quick: router, Texts: holder, Tokens: tokens, Counters: count, Log: e.log})
+	book := e.jobs(jobParts{store: store, holder: holder, directory: directory, counters: count, clock: clk})
+
+	callers := caller.New(caller.Options{Quick: router, Jobs: book, Texts: holder, Tokens: tokens, Counters: count, Log: e.log})
 	operators := operator.New(operator.Options{Config: holder, Tokens: tokens})
 	mux := http.NewServeMux()
 	mux.Handle("/v1/requests", callers)
--- a/job/record.go
+++ b/job/record.go
@@ -35,12 +35,17 @@
 type Record struct {
 	Spec  Spec  `json:"spec"`
 	State State `json:"state"`
+	// Domain is the failure domain whose scheduler places the job.
+	Domain string `json:"domain,omitempty"`
+	// Cancel tells that the caller has asked for the job's end.
+	Cancel bool `json:"cancel,omitempty"`
 	// Attempt counts placements from 1; 0 means the job was never placed.
 	Attempt int `json:"attempt,omitempty"`
 	// Term is the scheduler's term that wrote the record last.
 	Term    int64    `json:"term,omitempty"`
 	Members []Member `json:"members,omitempty"`
-	// Submitted, Started and Ended are points in time; 0 means not yet.
+	// Submitted, Started and Ended are points in time; 0 means not yet. Started is set
+	// with the end of the first attempt that ran.
 	Submitted clock.Millis    `json:"submitted"`
 	Started   clock.Millis    `json:"started,omitempty"`
 	Ended     clock.Millis    `json:"ended,omitempty"`
--- a/platformtest/kv.go
+++ b/platformtest/kv.go
@@ -9,7 +9,10 @@
 	"time"
 )
 
-const maxValue = 1 << 20 // bytes
+const (
+	maxValue = 1 << 20 // bytes
+	maxOps   = 64
+)
 
 type txnOp struct {
 	KV struct {
@@ -22,9 +25,14 @@
 
 type txnResult struct{ KV pair }
 
+type txnError struct {
+	OpIndex int
+	What    string
+}
+
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
 	var ops []txnOp
-	if err := json.NewDecoder(r.Body).Decode(&ops); err != nil || len(ops) == 0 {
+	if err := json.NewDecoder(r.Body).Decode(&ops); err != nil || len(ops) == 0 || len(ops) > maxOps {
 		http.Error(w, "malformed transaction", http.StatusBadRequest)
 		return
 	}
@@ -40,12 +48,12 @@
 	if s.takeLate(ops) {
 		panic(http.ErrAbortHandler)
 	}
-	results, ok, lose := s.apply(ops)
+	results, stale, lose := s.apply(ops)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	if !ok {
-		answer(w, http.StatusConflict, map[string]any{"Errors": []map[string]any{{"What": "index is stale"}}})
+	if len(stale) > 0 {
+		answer(w, http.StatusConflict, map[string]any{"Errors": stale})
 		return
 	}
 	answer(w, http.StatusOK, map[string]any{"Results": results})
@@ -63,19 +71,26 @@
 	return true
 }
 
-func (s *Server) apply(ops []txnOp) (results []txnResult, ok, lose bool) {
+// apply carries out all ops or none, and tells which of them were stale.
+func (s *Server) apply(ops []txnOp) (results []txnResult, stale []txnError, lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, op := range ops {
-		if s.pairs[op.KV.Key].ModifyIndex != op.KV.Index {
-			return nil, false, false
+	seen := make(map[string]bool, len(ops))
+	for i, op := range ops {
+		if seen[op.KV.Key] || s.pairs[op.KV.Key].ModifyIndex != op.KV.Index {
+			stale = append(stale, txnError{i, "index is stale"})
 		}
+		seen[op.KV.Key] = true
+	}
+	if len(stale) > 0 {
+		return nil, stale, false
 	}
 	s.index++
 	for _, op := range ops {
 		p := pair{Key: op.KV.Key, Value: op.KV.Value, ModifyIndex: s.index}
 		if op.KV.Verb == "delete-cas" {
 			delete(s.pairs, op.KV.Key)
+			s.deleted[op.KV.Key] = s.index
 		} else {
 			s.pairs[op.KV.Key] = p
 		}
@@ -86,9 +101,9 @@
 	s.changed = make(chan struct{})
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return nil, true, true
+		return nil, nil, true
 	}
-	return results, true, false
+	return results, nil, false
 }
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
@@ -97,7 +112,7 @@
 	}
 	key := strings.TrimPrefix(r.URL.Path, "/v1/kv/")
 	q := r.URL.Query()
-	recurse := q.Has("recurse")
+	recurse := q.Has("recurse") || q.Has("keys")
 	after, _ := strconv.ParseUint(q.Get("index"), 10, 64)
 	wait, _ := time.ParseDuration(q.Get("wait"))
 	deadline := time.NewTimer(wait)
@@ -105,13 +120,13 @@
 	for {
 		found, index, changed := s.find(key, recurse)
 		if !q.Has("index") || index > after {
-			s.answerPairs(w, found, index)
+			s.answerPairs(w, r, found, index)
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline.C:
-			s.answerPairs(w, found, index)
+			s.answerPairs(w, r, found, index)
 			return
 		case <-r.Context().Done():
 			return
@@ -119,8 +134,7 @@
 	}
 }
 
-// find returns the matching keys and the highest version among them; for an
-// empty prefix match the index is the store's own.
+// find returns the matching keys and the index of the last change or deletion among them.
 func (s *Server) find(key string, recurse bool) ([]pair, uint64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,15 +157,28 @@
 			index = max(index, p.ModifyIndex)
 		}
 	}
+	for k, at := range s.deleted {
+		if strings.HasPrefix(k, key) {
+			index = max(index, at)
+		}
+	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
 	return found, index, s.changed
 }
 
-func (s *Server) answerPairs(w http.ResponseWriter, found []pair, index uint64) {
+func (s *Server) answerPairs(w http.ResponseWriter, r *http.Request, found []pair, index uint64) {
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
 	if len(found) == 0 {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
 	}
-	answer(w, http.StatusOK, found)
+	if !r.URL.Query().Has("keys") {
+		answer(w, http.StatusOK, found)
+		return
+	}
+	keys := make([]string, len(found))
+	for i, p := range found {
+		keys[i] = p.Key
+	}
+	answer(w, http.StatusOK, keys)
 }
--- a/platformtest/platformtest.go
+++ b/platformtest/platformtest.go
@@ -45,6 +45,8 @@
 	StaleReads bool `json:"stale_reads"`
 	// StaleList freezes the instance list.
 	StaleList bool `json:"stale_list"`
+	// Flap goes down and up in turn for so many milliseconds each; 0 means never.
+	Flap clock.Millis `json:"flap_ms"`
 }
 
 // Calls counts the calls of one second.
@@ -72,6 +74,8 @@
 	index  uint64
 	pairs  map[string]pair
 	stale  map[string]pair
+	// deleted holds the index at which a key was deleted, for watches.
+	deleted map[string]uint64
 	// changed is closed and replaced at each write, to wake watches.
 	changed  chan struct{}
 	calls    []Calls
@@ -83,7 +87,7 @@
 func New(opts Options) *Server {
 	s := &Server{
 		opts: opts, clock: clock.New(), mux: http.NewServeMux(),
-		pairs: make(map[string]pair), changed: make(chan struct{}), services: make(map[string]listed),
+		pairs: make(map[string]pair), deleted: make(map[string]uint64), changed: make(chan struct{}), services: make(map[string]listed),
 	}
 	s.mux.HandleFunc("PUT /v1/txn", s.commit)
 	s.mux.HandleFunc("GET /v1/kv/", s.read)
@@ -149,6 +153,9 @@
 func (s *Server) admit(w http.ResponseWriter, write bool) bool {
 	s.mu.Lock()
 	f := s.faults
+	if f.Flap > 0 && s.clock.Now()/f.Flap%2 == 0 {
+		f.Down = true
+	}
 	c := s.second()
 	limit, used := s.opts.ReadsPerSecond, &c.Reads
 	if write {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -48,6 +48,9 @@
 // Holds reports whether a task in this state occupies resources.
 func (s State) Holds() bool { return s == Reserved || s == Throttled || s == Running }
 
+// Complete reports whether a task in this state has ended by itself.
+func (s State) Complete() bool { return s == Finished || s == Failed }
+
 // Refusal is why a worker's agent did not do what it was asked.
 type Refusal string
 
@@ -73,11 +76,17 @@
 	// Lease is the time in milliseconds after which the worker stops the task unless renewed.
 	Lease   clock.Millis `json:"lease_ms,omitempty"`
 	Payload []byte       `json:"payload,omitempty"`
+	// Gang names the workers that hold parts of the same gang.
+	Gang []string `json:"gang,omitempty"`
+	// Whole tells with Lift that every part of the gang runs; only such tasks are renewed.
+	Whole bool `json:"whole,omitempty"`
 	// Checkpoint is where to resume from, and after a stop where the work was left.
 	Checkpoint string `json:"checkpoint,omitempty"`
 
-	// State, Result and Used are filled in by the worker.
+	// State, Lifted, Result and Used are filled in by the worker. Lifted tells that
+	// the task has ever run unthrottled.
 	State  State  `json:"state,omitempty"`
+	Lifted bool   `json:"lifted,omitempty"`
 	Result []byte `json:"result,omitempty"`
 	// Used is the time in milliseconds that the task has been running unthrottled.
 	Used clock.Millis `json:"used_ms,omitempty"`
@@ -91,19 +100,24 @@
 	Grace   clock.Millis `json:"grace_ms,omitempty"`
 }
 
-// Renewal extends one lease.
+// Renewal extends the leases of all whole gang tasks of a worker.
 type Renewal struct {
-	ID      string       `json:"id"`
-	Attempt int          `json:"attempt"`
-	Lease   clock.Millis `json:"lease_ms"`
+	Term  int64        `json:"term"`
+	Lease clock.Millis `json:"lease_ms"`
+	// Since is the Change of the last report; tasks that did not change since are left out.
+	Since uint64 `json:"since,omitempty"`
+	// Wait is the time in milliseconds that the agent may hold the call until a task changes.
+	Wait clock.Millis `json:"wait_ms,omitempty"`
 }
 
 // Report is the state of a whole worker, with the usage as of a moment ago.
 type Report struct {
-	Name    string        `json:"name"`
+	Name    string        `json:"name,omitempty"`
 	Free    job.Resources `json:"free"`
 	Leaving bool          `json:"leaving,omitempty"`
-	Tasks   []Task        `json:"tasks"`
+	// Change counts the changes of gang tasks since the agent started.
+	Change uint64 `json:"change,omitempty"`
+	Tasks  []Task `json:"tasks,omitempty"`
 }
 
 // Error tells which call to which worker failed.
@@ -181,7 +195,8 @@
 	return call[Task](ctx, c, "start", "/v1/start", t)
 }
 
-// Lift removes the throttle of a started task and extends its lease to t.Lease.
+// Lift removes the throttle of a started task and extends its lease to t.Lease. With
+// t.Whole it marks the task as part of a gang that runs whole.
 func (c *Client) Lift(ctx context.Context, t Task) (Task, error) {
 	return call[Task](ctx, c, "lift", "/v1/lift", t)
 }
@@ -192,15 +207,11 @@
 	return call[Task](ctx, c, "stop", "/v1/stop", s)
 }
 
-// Renew extends leases under a term and returns the tasks as they stand now,
-// in the order of the renewals. A renewal creates nothing.
-func (c *Client) Renew(ctx context.Context, term int64, renewals []Renewal) ([]Task, error) {
-	in := renewal{Term: term, Renewals: renewals}
-	out, err := call[[]Task](ctx, c, "renew", "/v1/renew", in)
-	if err == nil && len(out) != len(renewals) {
-		return nil, &Error{Op: "renew", Address: c.address, Sent: true, Err: io.ErrUnexpectedEOF}
-	}
-	return out, err
+// Renew extends the leases of the worker's whole gang tasks under a term and returns
+// the gang tasks that changed since r.Since, without their results. It returns at
+// once when some did, otherwise after r.Wait. A renewal creates nothing.
+func (c *Client) Renew(ctx context.Context, r Renewal) (Report, error) {
+	return call[Report](ctx, c, "renew", "/v1/renew", r)
 }
 
 // Release forgets the result of an ended task.
@@ -219,11 +230,6 @@
 	return call[Report](ctx, c, "report", "/v1/report", nil)
 }
 
-type renewal struct {
-	Term     int64     `json:"term"`
-	Renewals []Renewal `json:"renewals"`
-}
-
 type refusal struct {
 	Refusal Refusal `json:"refusal"`
 }
@@ -243,6 +249,8 @@
 	if err != nil {
 		return fail(false, "", err)
 	}
+	// An empty value keeps the library from sending its own name with each call.
+	req.Header["User-Agent"] = []string{""}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		var dial *net.OpError
--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -69,7 +69,7 @@
 	}
 	if t.State == worker.Reserved {
 		t.State = worker.Throttled
-		t.Payload, t.Checkpoint = in.Payload, in.Checkpoint
+		t.Payload, t.Checkpoint, t.Gang = in.Payload, in.Checkpoint, in.Gang
 		t.script = parse(in.Payload)
 	}
 	s.extend(t, in.Lease)
@@ -89,9 +89,13 @@
 	}
 	s.extend(t, in.Lease)
 	if t.State == worker.Throttled {
-		t.State = worker.Running
+		t.State, t.Lifted = worker.Running, true
 		s.execute(t)
 	}
+	if in.Whole && !t.Whole {
+		t.Whole = true
+		s.touch(t)
+	}
 	return s.shown(t), ""
 }
 
@@ -131,31 +135,59 @@
 	return s.shown(t), ""
 }
 
-type renewal struct {
-	Term     int64            `json:"term"`
-	Renewals []worker.Renewal `json:"renewals"`
-}
-
-// renew extends leases and reports where each task stands.
-func (s *Server) renew(in renewal) ([]worker.Task, worker.Refusal) {
+// renew extends the leases of whole tasks and reports the tasks that changed.
+func (s *Server) renew(in worker.Renewal) (worker.Report, worker.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if in.Term < s.term {
-		return nil, worker.Fenced
+		return worker.Report{}, worker.Fenced
 	}
-	out := make([]worker.Task, len(in.Renewals))
-	for i, r := range in.Renewals {
-		t, ok := s.tasks[r.ID]
-		if !ok || t.Attempt != r.Attempt {
-			out[i] = worker.Task{ID: r.ID, Attempt: r.Attempt, State: worker.Lapsed}
-			continue
+	s.term = in.Term
+	for _, t := range s.tasks {
+		if t.Whole && t.State.Holds() {
+			s.extend(t, in.Lease)
+		}
+	}
+	deadline := time.After(in.Wait.Duration())
+	for waiting := in.Wait > 0; waiting && s.change == in.Since; {
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			waiting = false
 		}
-		if t.State.Holds() {
-			s.extend(t, r.Lease)
+		s.mu.Lock()
+	}
+	return s.delta(in.Since), ""
+}
+
+// delta reports the gang tasks that changed since a change. A change that the
+// worker has not come to yet was seen before it restarted.
+func (s *Server) delta(since uint64) worker.Report {
+	if since > s.change {
+		since = 0
+	}
+	r := worker.Report{Free: s.free, Leaving: s.leaving, Change: s.change}
+	for _, t := range s.tasks {
+		if t.Term > 0 && t.change > since {
+			out := s.shown(t)
+			out.Payload, out.Result = nil, nil
+			r.Tasks = append(r.Tasks, out)
 		}
-		out[i] = s.shown(t)
 	}
-	return out, ""
+	return r
+}
+
+// touch notes a change of a gang task and wakes the renewals that wait for one.
+func (s *Server) touch(t *task) {
+	if t.Term == 0 {
+		return
+	}
+	s.change++
+	t.change = s.change
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // release forgets an ended task.
@@ -219,6 +251,7 @@
 		s.free = s.free.Sub(in.Needs)
 	}
 	s.tasks[in.ID] = t
+	s.touch(t)
 	return t
 }
 
@@ -249,6 +282,7 @@
 	}
 	t.Used = s.used(t)
 	t.State, t.Result = state, result
+	s.touch(t)
 	s.free = s.free.Add(t.Needs)
 	if t.entry >= 0 {
 		s.journal[t.entry].End = s.opts.Clock.Now()
--- a/workertest/workertest.go
+++ b/workertest/workertest.go
@@ -81,6 +81,9 @@
 	term    int64
 	tasks   map[string]*task
 	journal []Execution
+	// change counts the changes of gang tasks; changed is closed and replaced at each.
+	change  uint64
+	changed chan struct{}
 }
 
 // task is a task with what the stand-in needs to pretend it.
@@ -90,9 +93,10 @@
 	expires clock.Millis
 	started clock.Millis
 	// entry is the index in the journal, or -1 before the task runs.
-	entry int
-	done  chan struct{}
-	timer *time.Timer
+	entry  int
+	change uint64
+	done   chan struct{}
+	timer  *time.Timer
 }
 
 // New returns a worker with all its capacity free.
@@ -102,7 +106,7 @@
 	}
 	s := &Server{
 		opts: opts, mux: http.NewServeMux(), free: opts.Capacity,
-		tasks: make(map[string]*task), thaw: make(chan struct{}),
+		tasks: make(map[string]*task), thaw: make(chan struct{}), changed: make(chan struct{}),
 	}
 	handle(s, "/v1/run", s.run)
 	handle(s, "/v1/reserve", s.reserve)
