settings: declare each setting in one row and report unreadable ones too

Cause: a flag of another type than text would have stopped the parser at the first fault, before Check could report all; and each setting stood in two places. Ruled out: typed kingpin flags. Change: rows of flag, default, allowed values and check; values are read leniently and faults wait for Check; Table lists them for the docs; the drain time becomes a setting.

--- a/cmd/chestnutsail/entry.go
+++ b/cmd/chestnutsail/entry.go
@@ -9,13 +9,10 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/entry"
 	"github.com/chestnutsail/chestnutsail/settings"
 )
 
-const drainTime = 30 * clock.Second
-
 type entryCommand struct{ settings settings.Entry }
 
 func (*entryCommand) name() string { return "entry" }
@@ -36,7 +33,7 @@
 		return fail(exitFailed, err)
 	}
 	<-ctx.Done()
-	drain, cancel := context.WithTimeout(context.Background(), drainTime.Duration())
+	drain, cancel := context.WithTimeout(context.Background(), c.settings.Drain.Duration())
 	defer cancel()
 	if err := e.Stop(drain); err != nil {
 		return fail(exitFailed, err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,5 +1,8 @@
 // Package settings holds the settings of an entry and checks them all at once.
 //
+// Every setting is a flag and an environment variable; the flag wins. A new one is
+// a field of Entry and one line in its rows.
+//
 // # Usage
 //
 //	var s settings.Entry
@@ -9,13 +12,11 @@
 
 import (
 	"fmt"
-	"net"
-	"net/url"
-	"regexp"
-	"slices"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/chestnutsail/chestnutsail/clock"
 )
 
 // Prefix begins the name of each environment variable.
@@ -40,6 +41,27 @@
 	// Log is the form of the logs: text or json. Level is debug, info, warn or error.
 	Log   string
 	Level string
+	// Drain bounds the time in milliseconds for finishing work at a stop.
+	Drain clock.Millis
+
+	unread []Fault
+}
+
+// rows declares every setting, in the order of the help and of the docs.
+func (s *Entry) rows() []row {
+	return []row{
+		name("name", &s.Name, "Name of this instance, unique within the firm."),
+		name("domain", &s.Domain, "Failure domain of this instance."),
+		address("listen", &s.Listen, "127.0.0.1:7000", "Host and port to serve on."),
+		address("advertise", &s.Advertise, "", "Host and port told to other entries; the same as --listen if empty."),
+		base("store", &s.Store, "http://127.0.0.1:8500", "Base URL of the platform's store."),
+		addresses("peers", &s.Peers, "Host and port of another entry to join; may be repeated, and the variable holds one a line."),
+		secret("secret", &s.Secret, false, "Secret that signs the tokens of callers, operators and peers."),
+		secret("previous", &s.Previous, true, "Secret that is still accepted while secrets are rotated."),
+		choice("log", &s.Log, "Form of the logs.", "text", "json"),
+		choice("level", &s.Level, "Least level that is logged.", "info", "debug", "warn", "error"),
+		span("drain", &s.Drain, 30*clock.Second, clock.Second, 10*clock.Minute, "Longest time for finishing work at a stop."),
+	}
 }
 
 // Fault is one setting that is not allowed.
@@ -56,74 +78,75 @@
 func (e *Error) Error() string {
 	lines := make([]string, len(e.Faults))
 	for i, f := range e.Faults {
-		lines[i] = fmt.Sprintf("--%s (%s%s): %q is not allowed; want %s", f.Flag, Prefix, strings.ToUpper(f.Flag), f.Value, f.Allowed)
+		lines[i] = fmt.Sprintf("--%s (%s): %q is not allowed; want %s", f.Flag, Variable(f.Flag), f.Value, f.Allowed)
 	}
 	return strings.Join(lines, "\n")
 }
 
-// Bind declares the settings as flags of a command.
-func (s *Entry) Bind(cmd *kingpin.CmdClause) {
-	flag := func(name, help string) *kingpin.FlagClause {
-		return cmd.Flag(name, help).Envar(Prefix + strings.ToUpper(name))
-	}
-	flag("name", "Name of this instance, unique within the firm.").StringVar(&s.Name)
-	flag("domain", "Failure domain of this instance.").StringVar(&s.Domain)
-	flag("listen", "Host and port to serve on.").Default("127.0.0.1:7000").StringVar(&s.Listen)
-	flag("advertise", "Host and port told to other entries; the same as --listen if empty.").StringVar(&s.Advertise)
-	flag("store", "Base URL of the platform's store.").Default("http://127.0.0.1:8500").StringVar(&s.Store)
-	flag("peers", "Host and port of another entry to join; may be repeated.").StringsVar(&s.Peers)
-	flag("secret", "Secret that signs the tokens of callers, operators and peers.").StringVar(&s.Secret)
-	flag("previous", "Secret that is still accepted while secrets are rotated.").StringVar(&s.Previous)
-	flag("log", "Form of the logs: text or json.").Default("text").StringVar(&s.Log)
-	flag("level", "Least level that is logged: debug, info, warn or error.").Default("info").StringVar(&s.Level)
+// Variable returns the name of the environment variable of a flag.
+func Variable(flag string) string {
+	return Prefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
-var nameForm = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+// Setting describes one setting for the docs.
+type Setting struct {
+	Flag     string
+	Variable string
+	Default  string
+	Allowed  string
+	Help     string
+}
 
-var levels = []string{"debug", "info", "warn", "error"}
+// Table returns every setting of an entry in the order of the help.
+func Table() []Setting {
+	var list []Setting
+	for _, r := range new(Entry).rows() {
+		list = append(list, Setting{r.flag, Variable(r.flag), r.fallback, r.allowed, r.help})
+	}
+	return list
+}
 
-const minSecret = 16 // bytes
+// Bind declares the settings as flags of a command. Values that can't be read are
+// kept for Check, so that all faults are reported together.
+func (s *Entry) Bind(cmd *kingpin.CmdClause) {
+	for _, r := range s.rows() {
+		help := strings.TrimSuffix(r.help, ".") + "; " + r.allowed + "."
+		flag := cmd.Flag(r.flag, help).Envar(Variable(r.flag))
+		if r.fallback != "" {
+			flag = flag.Default(r.fallback)
+		}
+		flag.SetValue(&value{row: r, unread: &s.unread})
+	}
+}
 
-// Check fills in defaults that depend on other settings and returns an *Error
-// with every fault, or nil.
+// Check fills in defaults and returns an *Error with every fault, or nil.
 func (s *Entry) Check() error {
+	faults := append([]Fault(nil), s.unread...)
+	for _, r := range s.rows() {
+		r.fill()
+	}
 	if s.Advertise == "" {
 		s.Advertise = s.Listen
 	}
-	var faults []Fault
-	want := func(ok bool, flag, value, allowed string) {
-		if !ok {
-			faults = append(faults, Fault{flag, value, allowed})
+	for _, r := range s.rows() {
+		if hasFault(faults, r.flag) {
+			continue
+		}
+		for _, wrong := range r.check() {
+			faults = append(faults, Fault{r.flag, wrong, r.allowed})
 		}
 	}
-	const name = "1 to 63 letters, digits, '.', '_' or '-'"
-	want(nameForm.MatchString(s.Name), "name", s.Name, name)
-	want(nameForm.MatchString(s.Domain), "domain", s.Domain, name)
-	want(isAddress(s.Listen), "listen", s.Listen, "HOST:PORT")
-	want(isAddress(s.Advertise), "advertise", s.Advertise, "HOST:PORT")
-	want(isURL(s.Store), "store", s.Store, "an http or https URL")
-	for _, p := range s.Peers {
-		want(isAddress(p), "peers", p, "HOST:PORT")
-	}
-	want(len(s.Secret) >= minSecret, "secret", mask(s.Secret), "16 bytes or more")
-	want(s.Previous == "" || len(s.Previous) >= minSecret, "previous", mask(s.Previous), "16 bytes or more, or nothing")
-	want(s.Log == "text" || s.Log == "json", "log", s.Log, "text or json")
-	want(slices.Contains(levels, s.Level), "level", s.Level, "debug, info, warn or error")
 	if len(faults) > 0 {
 		return &Error{faults}
 	}
 	return nil
 }
 
-func isAddress(v string) bool {
-	_, port, err := net.SplitHostPort(v)
-	return err == nil && port != ""
-}
-
-func isURL(v string) bool {
-	u, err := url.Parse(v)
-	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+func hasFault(faults []Fault, flag string) bool {
+	for _, f := range faults {
+		if f.Flag == flag {
+			return true
+		}
+	}
+	return false
 }
-
-// mask keeps secrets out of messages.
-func mask(v string) string { return strings.Repeat("*", len(v)) }
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,64 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/settings"
+)
+
+func parse(args ...string) (settings.Entry, error) {
+	var s settings.Entry
+	app := kingpin.New("test", "").Terminate(nil)
+	s.Bind(app.Command("entry", ""))
+	_, err := app.Parse(append([]string{"entry"}, args...))
+	Expect(err).NotTo(HaveOccurred())
+	return s, s.Check()
+}
+
+var _ = Describe("the settings of an entry", func() {
+	good := []string{"--name=e1", "--domain=a", "--secret=0123456789abcdef"}
+
+	It("fills in defaults", func() {
+		s, err := parse(good...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Advertise).To(Equal(s.Listen))
+		Expect(s.Drain).To(Equal(30 * clock.Second))
+	})
+
+	It("fills in defaults without flags", func() {
+		s := settings.Entry{Name: "e1", Domain: "a", Secret: "0123456789abcdef"}
+		Expect(s.Check()).To(Succeed())
+		Expect(s.Listen).To(Equal("127.0.0.1:7000"))
+	})
+
+	It("reports every fault at once and shows no secret", func() {
+		_, err := parse("--name=-", "--listen=nowhere", "--store=ftp://x", "--peers=a:1", "--peers=b", "--secret=short", "--log=xml", "--drain=soon")
+		var e *settings.Error
+		Expect(errors.As(err, &e)).To(BeTrue())
+		var flags []string
+		for _, f := range e.Faults {
+			flags = append(flags, f.Flag)
+		}
+		Expect(flags).To(ConsistOf("drain", "name", "domain", "listen", "advertise", "store", "peers", "secret", "log"))
+		Expect(err.Error()).To(ContainSubstring(`--drain (CHESTNUTSAIL_DRAIN): "soon" is not allowed; want a time from 1s to 10m0s`))
+		Expect(err.Error()).NotTo(ContainSubstring("short"))
+	})
+
+	It("reads every flag from its environment variable, which the flag overrides", func() {
+		for _, s := range settings.Table() {
+			Expect(os.Setenv(s.Variable, "x")).To(Succeed())
+			DeferCleanup(os.Unsetenv, s.Variable)
+		}
+		Expect(os.Setenv("CHESTNUTSAIL_PEERS", "h:1\nh:2")).To(Succeed())
+		s, _ := parse("--name=e1")
+		Expect(s.Name).To(Equal("e1"))
+		Expect([]string{s.Domain, s.Listen, s.Advertise, s.Store, s.Secret, s.Previous, s.Log, s.Level}).To(HaveEach("x"))
+		Expect(s.Peers).To(Equal([]string{"h:1", "h:2"}))
+	})
+})
