cmd: split the command line by command, show differences and advice

Cause: one file held all client commands, and a conflict did not show the other's change. Change: a file for each group of commands, package diff for conflicts, package advice for what to do next.

--- /dev/null
+++ b/advice/advice.go
@@ -0,0 +1,39 @@
+// Package advice tells people what to do about a refusal or an unknown outcome.
+//
+// # Usage
+//
+//	fmt.Println(advice.For(o.Reason))
+package advice
+
+import "github.com/chestnutsail/chestnutsail/outcome"
+
+var advice = map[outcome.Reason]string{
+	outcome.BadRequest:       "correct the request as the detail says and submit it again",
+	outcome.TooLarge:         "send a smaller payload, or a reference to where it is kept",
+	outcome.Unauthorized:     "make a token for this role and account with 'chestnutsail token'",
+	outcome.UnknownAccount:   "ask an operator to add the account to the text",
+	outcome.UnknownService:   "use a service that the text lists for this account",
+	outcome.KeyReused:        "use a new key for a new request",
+	outcome.ImpossibleShape:  "ask for a shape that some set of workers can hold",
+	outcome.OverQuota:        "ask for less, or ask an operator for a higher quota",
+	outcome.QueueFull:        "submit it again after the time given",
+	outcome.DeadlineExceeded: "submit it again with a longer deadline",
+	outcome.NoWorker:         "submit it again after the time given; an operator sees the workers in 'chestnutsail status'",
+	outcome.WorkersBusy:      "submit it again after the time given",
+	outcome.StoreUnreachable: "submit it again once the platform's store answers",
+	outcome.StoreOverBudget:  "submit it again after the time given",
+	outcome.Leaving:          "submit it again; the balancer sends it to another entry",
+	outcome.NotReady:         "submit it again once the entry is ready, or to another entry",
+	outcome.Canceled:         "nothing; it was canceled and will not run under this key",
+	outcome.InProgress:       "ask by key with 'chestnutsail wait'",
+	outcome.AnswerLost:       "ask by key with 'chestnutsail wait'; it is not run again, so check its effect before using a new key",
+	outcome.ClaimUnclear:     "submit it again with the same key; it runs at most once",
+	outcome.KeepsFailing:     "look at the job's own error; it failed on several workers",
+	outcome.UnknownKey:       "check the key and the account; if it was never submitted, submit it",
+	outcome.Abandoned:        "submit it again with a new key; it did not run",
+	outcome.WorkerReplaced:   "check its effect before using a new key; it is not run again",
+	outcome.WorkerStopped:    "check its effect before using a new key; it is not run again",
+}
+
+// For returns what to do about a reason, or "" when there is no reason.
+func For(r outcome.Reason) string { return advice[r] }
--- /dev/null
+++ b/advice/advice_test.go
@@ -0,0 +1,16 @@
+package advice_test
+
+import (
+	"testing"
+
+	"github.com/chestnutsail/chestnutsail/advice"
+	"github.com/chestnutsail/chestnutsail/outcome"
+)
+
+func TestEveryReasonHasAdvice(t *testing.T) {
+	for _, r := range outcome.Reasons() {
+		if advice.For(r) == "" {
+			t.Errorf("no advice for %s", r)
+		}
+	}
+}
--- a/client/client.go
+++ b/client/client.go
@@ -4,6 +4,9 @@
 //
 //	c := client.New(client.Options{Address: "http://127.0.0.1:7000", Token: t})
 //	o, err := c.Submit(ctx, client.Request{Service: "refund", Key: "r-1"})
+//	if o.Kind == outcome.Accepted {
+//		o, err = c.Wait(ctx, "r-1", nil)
+//	}
 package client
 
 import (
@@ -12,15 +15,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"strings"
-
-	"github.com/chestnutsail/chestnutsail/clock"
-	"github.com/chestnutsail/chestnutsail/job"
-	"github.com/chestnutsail/chestnutsail/outcome"
 )
 
 // ErrIncomplete means that an answer did not match its own length or hash.
@@ -34,17 +30,6 @@
 	Token string
 }
 
-// Request is a submission. Fields left out come from the service in the text.
-type Request struct {
-	Service  string       `json:"service"`
-	Key      string       `json:"key"`
-	Class    job.Class    `json:"class,omitempty"`
-	Declared clock.Millis `json:"declared_ms,omitempty"`
-	Deadline clock.Millis `json:"deadline_ms,omitempty"`
-	Shape    *job.Shape   `json:"shape,omitempty"`
-	Payload  []byte       `json:"payload,omitempty"`
-}
-
 // Error is an answer of an entry that is not an outcome.
 type Error struct {
 	Status  int
@@ -69,72 +54,6 @@
 	return &Client{opts: opts, http: &http.Client{}}
 }
 
-// Submit sends a request and returns its outcome. It returns ErrIncomplete when
-// the answer was cut on its way.
-func (c *Client) Submit(ctx context.Context, r Request) (outcome.Outcome, error) {
-	body, err := json.Marshal(r)
-	if err != nil {
-		return outcome.Outcome{}, err
-	}
-	return c.outcome(ctx, http.MethodPost, "/v1/requests", body)
-}
-
-// Ask returns the outcome of an earlier request by its key.
-func (c *Client) Ask(ctx context.Context, key string) (outcome.Outcome, error) {
-	return c.outcome(ctx, http.MethodGet, "/v1/requests/"+url.PathEscape(key), nil)
-}
-
-// Text returns the text in force and its revision.
-func (c *Client) Text(ctx context.Context) (raw []byte, revision uint64, err error) {
-	resp, err := c.do(ctx, http.MethodGet, "/v1/text", nil, nil)
-	if err != nil {
-		return nil, 0, err
-	}
-	defer closeBody(resp)
-	if resp.StatusCode != http.StatusOK {
-		return nil, 0, problem(resp)
-	}
-	revision, err = strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
-	if err != nil {
-		return nil, 0, err
-	}
-	raw, err = io.ReadAll(resp.Body)
-	return raw, revision, err
-}
-
-// Apply replaces revision base of the text and returns the new revision.
-func (c *Client) Apply(ctx context.Context, base uint64, raw []byte) (uint64, error) {
-	header := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(base, 10))}}
-	resp, err := c.do(ctx, http.MethodPut, "/v1/text", raw, header)
-	if err != nil {
-		return 0, err
-	}
-	defer closeBody(resp)
-	if resp.StatusCode != http.StatusOK {
-		return 0, problem(resp)
-	}
-	var out struct {
-		Revision uint64 `json:"revision"`
-	}
-	err = json.NewDecoder(resp.Body).Decode(&out)
-	return out.Revision, err
-}
-
-func (c *Client) outcome(ctx context.Context, method, path string, body []byte) (o outcome.Outcome, err error) {
-	resp, err := c.do(ctx, method, path, body, nil)
-	if err != nil {
-		return o, err
-	}
-	defer closeBody(resp)
-	if err := json.NewDecoder(resp.Body).Decode(&o); err != nil {
-		return o, fmt.Errorf("%w: %w", ErrIncomplete, err)
-	}
-	if !o.Whole() {
-		return o, ErrIncomplete
-	}
-	return o, nil
-}
-
 func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.opts.Address+path, bytes.NewReader(body))
 	if err != nil {
@@ -147,6 +66,19 @@
 	return c.http.Do(req)
 }
 
+// read decodes the JSON answer of a call into out, or returns the entry's *Error.
+func (c *Client) read(ctx context.Context, method, path string, out any) error {
+	resp, err := c.do(ctx, method, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	defer closeBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return problem(resp)
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
 func problem(resp *http.Response) error {
 	e := &Error{Status: resp.StatusCode, Message: resp.Status}
 	var in struct {
@@ -154,7 +86,7 @@
 		Revision uint64 `json:"revision"`
 		Current  string `json:"current"`
 	}
-	if json.NewDecoder(resp.Body).Decode(&in) == nil {
+	if json.NewDecoder(resp.Body).Decode(&in) == nil && in.Error != "" {
 		e.Message, e.Revision, e.Current = in.Error, in.Revision, in.Current
 	}
 	return e
--- a/cmd/chestnutsail/main.go
+++ b/cmd/chestnutsail/main.go
@@ -4,20 +4,22 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
-)
 
-// Exit codes of the command line.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitBadInput = 2
-	exitRefused  = 3
-	exitUnknown  = 4
-	exitConflict = 5
+	"github.com/chestnutsail/chestnutsail/settings"
 )
 
+const about = `Scheduler for multi-accelerator jobs under client account guarantees.
+
+Exit codes: 0 done or accepted, 1 failed, 2 bad input, 3 refused and not run,
+4 unknown, 5 conflict with another change.`
+
+// usage is kingpin's template with the examples of the chosen command.
+var usage = strings.Replace(kingpin.DefaultUsageTemplate, "{{if .Context.Flags -}}",
+	"{{if .Context.SelectedCommand}}{{if .Context.SelectedCommand.HelpLong}}Examples:\n{{.Context.SelectedCommand.HelpLong}}\n{{end}}{{end -}}\n{{if .Context.Flags -}}", 1)
+
 // command is a subcommand: run returns the exit code.
 type command interface {
 	bind(app *kingpin.Application)
@@ -25,31 +27,43 @@
 	run() int
 }
 
+// asJSON is set by the flag that all commands share.
+var asJSON bool
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
 
+func commands() []command {
+	return []command{
+		&demoCommand{},
+		&entryCommand{},
+		&checkCommand{}, &getCommand{}, &diffCommand{}, &applyCommand{},
+		&submitCommand{}, &waitCommand{}, &cancelCommand{},
+		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{},
+		&tokenCommand{}, &completionCommand{}, &versionCommand{},
+	}
+}
+
 func run(args []string) int {
-	app := kingpin.New("chestnutsail", "Scheduler for multi-accelerator jobs under client account guarantees.")
+	app := kingpin.New("chestnutsail", about)
 	app.HelpFlag.Short('h')
-	commands := []command{&entryCommand{}, &applyCommand{}, &submitCommand{}, &tokenCommand{}}
-	for _, c := range commands {
+	app.UsageTemplate(usage)
+	app.Flag("json", "Print JSON for programs instead of tables for people.").
+		Envar(settings.Variable("json")).BoolVar(&asJSON)
+	list := commands()
+	for _, c := range list {
 		c.bind(app)
 	}
 	chosen, err := app.Parse(args)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "chestnutsail: %v; see --help\n", err)
+		fmt.Fprintf(os.Stderr, "chestnutsail: %v\nTry 'chestnutsail --help'.\n", err)
 		return exitBadInput
 	}
-	for _, c := range commands {
+	for _, c := range list {
 		if c.name() == chosen {
 			return c.run()
 		}
 	}
 	return exitBadInput
 }
-
-func fail(code int, err error) int {
-	fmt.Fprintf(os.Stderr, "chestnutsail: %v\n", err)
-	return code
-}
--- /dev/null
+++ b/cmd/chestnutsail/output.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+
+	"github.com/chestnutsail/chestnutsail/advice"
+	"github.com/chestnutsail/chestnutsail/client"
+	"github.com/chestnutsail/chestnutsail/outcome"
+)
+
+// Exit codes of the command line.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+	exitRefused  = 3
+	exitUnknown  = 4
+	exitConflict = 5
+)
+
+func fail(code int, err error) int {
+	fmt.Fprintf(os.Stderr, "chestnutsail: %v\n", err)
+	return code
+}
+
+// failCall reports a call that an entry did not answer as asked.
+func failCall(err error) int {
+	var e *client.Error
+	if !errors.As(err, &e) {
+		fmt.Fprintf(os.Stderr, "chestnutsail: %v\nIs an entry running at --address? Another entry can be asked.\n", err)
+		return exitUnknown
+	}
+	switch e.Status {
+	case http.StatusUnauthorized:
+		fmt.Fprintf(os.Stderr, "chestnutsail: %s\nMake a token with 'chestnutsail token operator NAME' and pass it as --token.\n", e.Message)
+		return exitRefused
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return fail(exitBadInput, err)
+	case http.StatusPreconditionFailed:
+		return fail(exitConflict, err)
+	case http.StatusGatewayTimeout:
+		return fail(exitUnknown, err)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return fail(exitRefused, err)
+	default:
+		return fail(exitFailed, err)
+	}
+}
+
+func printJSON(v any) int {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return fail(exitFailed, err)
+	}
+	return exitOK
+}
+
+// table writes rows in aligned columns, the first row being the heading.
+func table(rows [][]string) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				_, _ = fmt.Fprint(w, "\t")
+			}
+			_, _ = fmt.Fprint(w, cell)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	_ = w.Flush()
+}
+
+// show prints an outcome, the answer on standard output and the rest on standard
+// error, and returns the exit code that goes with it.
+func show(o outcome.Outcome) int {
+	if asJSON {
+		if code := printJSON(o); code != exitOK {
+			return code
+		}
+		return codeOf(o)
+	}
+	fmt.Fprintln(os.Stderr, describe(o))
+	if len(o.Body) > 0 {
+		fmt.Println(string(o.Body))
+	}
+	return codeOf(o)
+}
+
+// describe says in a few lines what became of a request and what to do next.
+func describe(o outcome.Outcome) string {
+	s := string(o.Kind)
+	if o.Key != "" {
+		s = o.Key + ": " + s
+	}
+	if o.Reason != "" {
+		s += ": " + string(o.Reason)
+	}
+	if o.Detail != "" {
+		s += ": " + o.Detail
+	}
+	if o.Worker != "" {
+		s += fmt.Sprintf(" (%s, attempt %d)", o.Worker, o.Attempt)
+	}
+	if next := advice.For(o.Reason); next != "" {
+		s += "\nNext: " + next
+		if o.Retry > 0 {
+			s += fmt.Sprintf(" (after %s)", o.Retry)
+		}
+	}
+	if o.Kind == outcome.Accepted {
+		s += "\nNext: chestnutsail wait " + o.Key
+	}
+	return s
+}
+
+func codeOf(o outcome.Outcome) int {
+	switch o.Kind {
+	case outcome.Done, outcome.Accepted:
+		return exitOK
+	case outcome.NotRun:
+		return exitRefusal(o.Reason)
+	case outcome.Unknown:
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
+
+func exitRefusal(r outcome.Reason) int {
+	switch r {
+	case outcome.BadRequest, outcome.TooLarge, outcome.UnknownService, outcome.ImpossibleShape:
+		return exitBadInput
+	case outcome.KeyReused:
+		return exitConflict
+	default:
+		return exitRefused
+	}
+}
--- /dev/null
+++ b/cmd/chestnutsail/text.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/chestnutsail/chestnutsail/check"
+	"github.com/chestnutsail/chestnutsail/client"
+	"github.com/chestnutsail/chestnutsail/diff"
+	"github.com/chestnutsail/chestnutsail/strict"
+	"github.com/chestnutsail/chestnutsail/text"
+)
+
+type checkCommand struct{ files []string }
+
+func (*checkCommand) name() string { return "check" }
+
+func (c *checkCommand) bind(app *kingpin.Application) {
+	cmd := app.Command("check", "Check cluster texts offline and report every fault.")
+	cmd.HelpLong("  chestnutsail check examples/perth.yaml examples/lahore.yaml\n")
+	cmd.Arg("file", "Files of the texts.").Required().ExistingFilesVar(&c.files)
+}
+
+type checked struct {
+	File     string           `json:"file"`
+	Problems []strict.Problem `json:"problems"`
+}
+
+func (c *checkCommand) run() int {
+	code := exitOK
+	var all []checked
+	for _, file := range c.files {
+		_, _, problems, err := read(file)
+		if err != nil {
+			return fail(exitBadInput, err)
+		}
+		all = append(all, checked{file, append([]strict.Problem{}, problems...)})
+		if len(problems) > 0 {
+			code = exitBadInput
+		}
+	}
+	if asJSON {
+		printJSON(all)
+		return code
+	}
+	for _, f := range all {
+		complain(f.File, f.Problems)
+		if len(f.Problems) == 0 {
+			fmt.Printf("%s: ok\n", f.File)
+		}
+	}
+	return code
+}
+
+// read reads and checks the text in a file.
+func read(file string) (raw []byte, t *text.Text, problems []strict.Problem, err error) {
+	raw, err = os.ReadFile(file)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	t, err = check.Text(raw)
+	var e *check.Error
+	if errors.As(err, &e) {
+		return raw, nil, e.Problems, nil
+	}
+	return raw, t, nil, err
+}
+
+// complain prints the problems of a file in the manner of compilers.
+func complain(file string, problems []strict.Problem) {
+	for _, p := range problems {
+		fmt.Fprintf(os.Stderr, "%s:%s\n", file, p)
+	}
+}
+
+type getCommand struct{ target target }
+
+func (*getCommand) name() string { return "get" }
+
+func (c *getCommand) bind(app *kingpin.Application) {
+	cmd := app.Command("get", "Print the cluster text in force; its revision goes to standard error.")
+	cmd.HelpLong("  chestnutsail get > cluster.yaml   # prints: revision 7\n  chestnutsail apply --base 7 cluster.yaml\n")
+	c.target.bind(cmd)
+}
+
+func (c *getCommand) run() int {
+	raw, revision, err := c.target.client().Text(context.Background())
+	if err != nil {
+		return failCall(err)
+	}
+	if asJSON {
+		return printJSON(struct {
+			Revision uint64 `json:"revision"`
+			Text     string `json:"text"`
+		}{revision, string(raw)})
+	}
+	fmt.Fprintf(os.Stderr, "revision %d\n", revision)
+	fmt.Print(string(raw))
+	return exitOK
+}
+
+type diffCommand struct {
+	target target
+	file   string
+}
+
+func (*diffCommand) name() string { return "diff" }
+
+func (c *diffCommand) bind(app *kingpin.Application) {
+	cmd := app.Command("diff", "Show what applying a text would change; exits with 1 if anything.")
+	cmd.HelpLong("  chestnutsail diff cluster.yaml\n")
+	c.target.bind(cmd)
+	cmd.Arg("file", "File of the text.").Required().ExistingFileVar(&c.file)
+}
+
+func (c *diffCommand) run() int {
+	raw, _, problems, err := read(c.file)
+	if err != nil {
+		return fail(exitBadInput, err)
+	}
+	standing, revision, err := c.target.client().Text(context.Background())
+	if err != nil {
+		return failCall(err)
+	}
+	changes := diff.Lines(string(standing), string(raw))
+	complain(c.file, problems)
+	if asJSON {
+		printJSON(struct {
+			Revision uint64           `json:"revision"`
+			Diff     string           `json:"diff"`
+			Problems []strict.Problem `json:"problems"`
+		}{revision, changes, append([]strict.Problem{}, problems...)})
+	} else {
+		fmt.Print(changes)
+	}
+	switch {
+	case len(problems) > 0:
+		return exitBadInput
+	case changes != "":
+		return exitFailed
+	default:
+		return exitOK
+	}
+}
+
+// conflict shows what another operator put in force in the meantime.
+func conflict(file string, raw []byte, e *client.Error) int {
+	fmt.Fprintf(os.Stderr, "chestnutsail: %s\nFrom %s to the text in force now:\n%s", e.Message, file, diff.Lines(string(raw), e.Current))
+	fmt.Fprintf(os.Stderr, "Next: 'chestnutsail get', make the change again, and apply it with --base %d.\n", e.Revision)
+	return exitConflict
+}
