docs: the first pages, with their tables checked against the code

Cause: a newcomer found four lines of README. The tables of settings, commands, reasons and retries are compared with the code by a test, which also writes them.

--- a/advice/advice.go
+++ b/advice/advice.go
@@ -1,8 +1,10 @@
-// Package advice tells people what to do about a refusal or an unknown outcome.
+// Package advice tells people what to do about a refusal, an unknown outcome or a
+// retry.
 //
 // # Usage
 //
 //	fmt.Println(advice.For(o.Reason))
+//	fmt.Println(advice.Retried(outcome.RetryStoreDown))
 package advice
 
 import "github.com/chestnutsail/chestnutsail/outcome"
@@ -37,3 +39,18 @@
 
 // For returns what to do about a reason, or "" when there is no reason.
 func For(r outcome.Reason) string { return advice[r] }
+
+var retried = map[outcome.Retry]string{
+	outcome.RetryWorkerFull:    "a worker had no free slot and another was tried; if it grows, add workers or slots",
+	outcome.RetryWorkerRefused: "a worker is leaving or fenced the call, and another was tried; expected while workers drain",
+	outcome.RetryWorkerLost:    "a worker did not answer and another was tried; look for workers in quarantine",
+	outcome.RetryHedge:         "an idempotent request was sent to a second worker; if it grows, look for slow workers",
+	outcome.RetryStoreConflict: "another entry wrote the key first; expected after a change of the scheduler",
+	outcome.RetryStoreDown:     "the store refused a call; look at the store",
+	outcome.RetryStoreUnclear:  "the store's answer was lost and the key was read back; look at the store and its network",
+	outcome.RetryPeerLost:      "another entry did not answer; look for a cut between failure domains",
+	outcome.RetryGangRefused:   "a worker refused its part of a gang and the gang is placed again; expected while workers drain",
+}
+
+// Retried returns what a retry means and what to do about it.
+func Retried(r outcome.Retry) string { return retried[r] }
--- a/advice/advice_test.go
+++ b/advice/advice_test.go
@@ -14,3 +14,11 @@
 		}
 	}
 }
+
+func TestEveryRetryHasAdvice(t *testing.T) {
+	for _, r := range outcome.Retries() {
+		if advice.Retried(r) == "" {
+			t.Errorf("no advice for %s", r)
+		}
+	}
+}
--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,111 @@
+package docs_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/chestnutsail/chestnutsail/advice"
+	"github.com/chestnutsail/chestnutsail/caller"
+	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/settings"
+)
+
+// Tables of the pages that follow from the code. CHESTNUTSAIL_UPDATE=1 writes them
+// anew instead of comparing them.
+func TestTablesMatchTheCode(t *testing.T) {
+	tables := []struct {
+		page, name string
+		rows       func() []string
+	}{
+		{"OPERATING.md", "settings", settingRows},
+		{"OPERATING.md", "retries", retryRows},
+		{"API.md", "reasons", reasonRows},
+		{"OPERATING.md", "commands", func() []string { return commandRows(t) }},
+	}
+	for _, c := range tables {
+		t.Run(c.name, func(t *testing.T) { compare(t, c.page, c.name, strings.Join(c.rows(), "\n")) })
+	}
+}
+
+func compare(t *testing.T, page, name, want string) {
+	raw, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begin, end := "<!-- "+name+" -->\n", "<!-- end of "+name+" -->"
+	i := strings.Index(string(raw), begin)
+	j := strings.Index(string(raw), end)
+	if i < 0 || j < 0 {
+		t.Fatalf("%s has no table %s", page, name)
+	}
+	i += len(begin)
+	want += "\n"
+	if got := string(raw[i:j]); got == want {
+		return
+	}
+	if os.Getenv("CHESTNUTSAIL_UPDATE") == "" {
+		t.Fatalf("%s: table %s differs from the code; run CHESTNUTSAIL_UPDATE=1 go test ./docs", page, name)
+	}
+	if err := os.WriteFile(page, []byte(string(raw[:i])+want+string(raw[j:])), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func settingRows() []string {
+	rows := []string{"| flag | variable | default | allowed | what it is |", "|---|---|---|---|---|"}
+	for _, s := range settings.Table() {
+		rows = append(rows, fmt.Sprintf("| `--%s` | `%s` | %s | %s | %s |", s.Flag, s.Variable, code(s.Default), s.Allowed, s.Help))
+	}
+	return rows
+}
+
+func reasonRows() []string {
+	rows := []string{"| reason | status refused | status unknown | what to do |", "|---|---|---|---|"}
+	for _, r := range outcome.Reasons() {
+		refused := caller.Status(outcome.Refuse("", r, 0, ""))
+		unknown := caller.Status(outcome.Outcome{Kind: outcome.Unknown, Reason: r})
+		rows = append(rows, fmt.Sprintf("| `%s` | %d | %d | %s |", r, refused, unknown, advice.For(r)))
+	}
+	return rows
+}
+
+func retryRows() []string {
+	rows := []string{"| reason | what it means and what to do |", "|---|---|"}
+	for _, r := range outcome.Retries() {
+		rows = append(rows, fmt.Sprintf("| `%s` | %s |", r, advice.Retried(r)))
+	}
+	return rows
+}
+
+var commandLine = regexp.MustCompile(`^([a-z]+)( .*)?$`)
+
+// commandRows reads the commands and what they do from the program's help.
+func commandRows(t *testing.T) []string {
+	out, err := exec.Command("go", "run", "../cmd/chestnutsail", "--help").CombinedOutput()
+	if err != nil && len(out) == 0 {
+		t.Fatal(err)
+	}
+	_, list, found := strings.Cut(string(out), "\nCommands:\n")
+	if !found {
+		t.Fatalf("the help lists no commands:\n%s", out)
+	}
+	rows := []string{"| command | what it does |", "|---|---|"}
+	lines := strings.Split(list, "\n")
+	for i := 0; i+1 < len(lines); i++ {
+		if m := commandLine.FindStringSubmatch(lines[i]); m != nil {
+			rows = append(rows, fmt.Sprintf("| `%s` | %s |", m[1], strings.TrimSpace(lines[i+1])))
+		}
+	}
+	return rows
+}
+
+func code(v string) string {
+	if v == "" {
+		return ""
+	}
+	return "`" + v + "`"
+}
