--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -27,6 +27,14 @@
 	AnswerLost       Reason = "answer_lost"
 	ClaimUnclear     Reason = "claim_unclear"
 	KeepsFailing     Reason = "keeps_failing"
+	// UnknownKey means that nothing is recorded under the key now.
+	UnknownKey Reason = "unknown_key"
+	// Abandoned means that the entry that took the request ended before it was sent.
+	Abandoned Reason = "abandoned"
+	// WorkerReplaced means that the process that may have run the request is gone.
+	WorkerReplaced Reason = "worker_replaced"
+	// WorkerStopped means that the request was stopped after it had begun to run.
+	WorkerStopped Reason = "worker_stopped"
 )
 
 // Reasons returns every Reason in a fixed order.
@@ -35,7 +43,8 @@
 		BadRequest, TooLarge, Unauthorized, UnknownAccount, UnknownService, KeyReused,
 		ImpossibleShape, OverQuota, QueueFull, DeadlineExceeded, NoWorker, WorkersBusy,
 		StoreUnreachable, StoreOverBudget, Leaving, NotReady, Canceled, InProgress,
-		AnswerLost, ClaimUnclear, KeepsFailing,
+		AnswerLost, ClaimUnclear, KeepsFailing, UnknownKey, Abandoned, WorkerReplaced,
+		WorkerStopped,
 	}
 }
 
@@ -47,6 +56,7 @@
 	RetryWorkerFull    Retry = "worker_full"
 	RetryWorkerRefused Retry = "worker_refused"
 	RetryWorkerLost    Retry = "worker_lost"
+	RetryTaskFailed    Retry = "task_failed"
 	RetryHedge         Retry = "hedge"
 	RetryStoreConflict Retry = "store_conflict"
 	RetryStoreDown     Retry = "store_down"
@@ -58,7 +68,7 @@
 // Retries returns every Retry in a fixed order.
 func Retries() []Retry {
 	return []Retry{
-		RetryWorkerFull, RetryWorkerRefused, RetryWorkerLost, RetryHedge, RetryStoreConflict,
+		RetryWorkerFull, RetryWorkerRefused, RetryWorkerLost, RetryTaskFailed, RetryHedge, RetryStoreConflict,
 		RetryStoreDown, RetryStoreUnclear, RetryPeerLost, RetryGangRefused,
 	}
 }
--- a/workertest/workertest.go
+++ b/workertest/workertest.go
@@ -12,6 +12,7 @@
 package workertest
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -70,8 +71,9 @@
 
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
 type Server struct {
-	opts Options
-	mux  *http.ServeMux
+	opts        Options
+	incarnation string
+	mux         *http.ServeMux
 
 	mu      sync.Mutex
 	faults  Faults
@@ -81,6 +83,9 @@
 	term    int64
 	tasks   map[string]*task
 	journal []Execution
+	// change counts the changes of gang tasks; changed is closed and replaced at each.
+	change  uint64
+	changed chan struct{}
 }
 
 // task is a task with what the stand-in needs to pretend it.
@@ -90,9 +95,10 @@
 	expires clock.Millis
 	started clock.Millis
 	// entry is the index in the journal, or -1 before the task runs.
-	entry int
-	done  chan struct{}
-	timer *time.Timer
+	entry  int
+	change uint64
+	done   chan struct{}
+	timer  *time.Timer
 }
 
 // New returns a worker with all its capacity free.
@@ -101,8 +107,8 @@
 		opts.Clock = clock.New()
 	}
 	s := &Server{
-		opts: opts, mux: http.NewServeMux(), free: opts.Capacity,
-		tasks: make(map[string]*task), thaw: make(chan struct{}),
+		opts: opts, incarnation: rand.Text(), mux: http.NewServeMux(), free: opts.Capacity,
+		tasks: make(map[string]*task), thaw: make(chan struct{}), changed: make(chan struct{}),
 	}
 	handle(s, "/v1/run", s.run)
 	handle(s, "/v1/reserve", s.reserve)
@@ -158,7 +164,7 @@
 func (s *Server) Report() worker.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := worker.Report{Name: s.opts.Name, Free: s.free, Leaving: s.leaving, Tasks: []worker.Task{}}
+	r := worker.Report{Name: s.opts.Name, Incarnation: s.incarnation, Free: s.free, Leaving: s.leaving, Tasks: []worker.Task{}}
 	for _, t := range s.tasks {
 		r.Tasks = append(r.Tasks, s.shown(t))
 	}
