--- /dev/null
+++ b/workload/workload_test.go
@@ -0,0 +1,35 @@
+package workload_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/baseline"
+	"github.com/chestnutsail/chestnutsail/scheduler"
+	"github.com/chestnutsail/chestnutsail/suite"
+	"github.com/chestnutsail/chestnutsail/workload"
+)
+
+func TestWorkload(t *testing.T) { suite.Run(t, "workload") }
+
+const seed = 1
+
+var _ = Describe("the workloads", func() {
+	for _, w := range workload.All(seed) {
+		It("keep every promise under our core: "+w.Name, func() {
+			r := workload.Run(scheduler.New(scheduler.Options{Domain: "a"}), w)
+			Expect(r.Against).To(BeZero(), "work was started against a promise")
+			Expect(r.UrgentLate).To(BeZero(), "urgent work started after the bound")
+			Expect(r.Unfinished).To(BeZero(), "jobs never ended")
+		})
+	}
+
+	It("end under both baselines", func() {
+		for _, p := range []baseline.Policy{baseline.FirstFit, baseline.BestFit} {
+			r := workload.Run(baseline.New(baseline.Options{Policy: p}), workload.All(seed)[0])
+			Expect(r.Unfinished).To(BeZero())
+		}
+	})
+})
