queue: place quick checks right after urgent work

Cause: quick checks queued by expected run time among batch work of all accounts, and workers that are emptied for a gang were closed to them. Change: a tier for jobs of class quick whose expected run time, corrected from history, is at most 2 min; such jobs may run on workers that are being emptied. The class alone does not give the tier, so a long job cannot pose as quick. Also: workers that fail everything no longer count as free in the fragmentation.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -4,12 +4,13 @@
 // the service that it has attained already. Ranks do not change with time, so a
 // long job is overtaken only by work that arrives within its expected run time
 // after it: waiting counts as much for a job as expected run time against it.
-// Urgent jobs go before all others.
+// Urgent jobs go before all others, and quick ones that are expected to be over
+// soon before the rest.
 //
 // # Usage
 //
 //	q := queue.New[*work]()
-//	q.Add(item, queue.Rank{Urgent: true, At: queue.At(class, arrived, expected, attained), Seq: n})
+//	q.Add(item, queue.Rank{Tier: queue.Urgent, At: queue.At(class, arrived, expected, attained), Seq: n})
 //	for _, item := range q.Items() { ... }
 package queue
 
@@ -21,23 +22,42 @@
 	"github.com/chestnutsail/chestnutsail/job"
 )
 
-// Rank orders the items of a queue: urgent ones first, then by At, then by Seq.
+// Tier orders items before all else.
+type Tier int
+
+// The tiers.
+const (
+	Urgent Tier = iota
+	Quick
+	Normal
+)
+
+// quickRun is the longest run time to expect of a job in the tier Quick.
+const quickRun = 2 * clock.Minute
+
+// TierOf returns the tier of a job of the class with the expected run time.
+func TierOf(class job.Class, expected clock.Millis) Tier {
+	switch {
+	case class == job.Urgent:
+		return Urgent
+	case class == job.Quick && expected <= quickRun:
+		return Quick
+	default:
+		return Normal
+	}
+}
+
+// Rank orders the items of a queue: by tier, then by At, then by Seq.
 type Rank struct {
-	Urgent bool
-	At     clock.Millis
+	Tier Tier         `json:"tier"`
+	At   clock.Millis `json:"at"`
 	// Seq is the order of arrival; no two items of a queue have the same.
-	Seq int64
+	Seq int64 `json:"seq"`
 }
 
 // Compare returns a negative number when r goes before o.
 func (r Rank) Compare(o Rank) int {
-	urgent := func(r Rank) int {
-		if r.Urgent {
-			return 0
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(urgent(r), urgent(o)), cmp.Compare(r.At, o.At), cmp.Compare(r.Seq, o.Seq))
+	return cmp.Or(cmp.Compare(r.Tier, o.Tier), cmp.Compare(r.At, o.At), cmp.Compare(r.Seq, o.Seq))
 }
 
 // Head starts of the classes against each other.
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -5,6 +5,7 @@
 
 	"github.com/chestnutsail/chestnutsail/cell"
 	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/queue"
 )
 
 // decide places what can be placed: urgent work first, then work within its
@@ -19,7 +20,8 @@
 			c.each(a, nil, func(w *work) bool { return w.needsAccels() && c.placeOwn(w) })
 		}
 	}
-	c.placeFair()
+	c.placeFair(queue.Quick)
+	c.placeFair(queue.Normal)
 	c.makeRoom()
 }
 
@@ -42,13 +44,13 @@
 }
 
 // placeFair places one job at a time, of the account that holds the least beyond
-// its guarantee for its weight.
-func (c *Core) placeFair() {
+// its guarantee for its weight, up to the given tier.
+func (c *Core) placeFair(last queue.Tier) {
 	at := make([]int, len(c.accounts))
 	for {
 		next := -1
 		for i, a := range c.accounts {
-			if at[i] >= a.queue.Len() {
+			if at[i] >= a.queue.Len() || a.queue.Rank(at[i]).Tier > last {
 				continue
 			}
 			if next < 0 || a.borrowed*c.accounts[next].weight < c.accounts[next].borrowed*a.weight {
@@ -58,14 +60,14 @@
 		if next < 0 {
 			return
 		}
-		at[next] = c.placeNext(c.accounts[next], at[next])
+		at[next] = c.placeNext(c.accounts[next], at[next], last)
 	}
 }
 
 // placeNext places the account's first job from position i on that fits, and
 // returns the position to go on from.
-func (c *Core) placeNext(a *account, i int) int {
-	for ; i < a.queue.Len(); i++ {
+func (c *Core) placeNext(a *account, i int, last queue.Tier) int {
+	for ; i < a.queue.Len() && a.queue.Rank(i).Tier <= last; i++ {
 		w := a.queue.At(i)
 		if w.plain() && w.class.borrow == c.version {
 			continue
@@ -107,7 +109,7 @@
 	if c.now < n.cool {
 		return false
 	}
-	if id, taken := c.reserved[n.Name]; taken && id != w.id {
+	if id, taken := c.reserved[n.Name]; taken && id != w.id && w.rank.Tier > queue.Quick {
 		return false
 	}
 	return n.Usable || c.probe(n, w)
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -35,7 +35,7 @@
 func (c *Core) know(r job.Record) *work {
 	r.Spec.Payload, r.Outcome.Body = nil, nil
 	c.seq++
-	w := &work{rec: r, id: r.Spec.ID(), seq: c.seq, since: c.now, acct: c.account(r.Spec.Account), class: c.classOf(r.Spec)}
+	w := &work{rec: r, id: r.Spec.ID(), seq: c.seq, since: c.now, acct: c.account(r.Spec.Account), class: c.classOf(r.Spec, queue.Normal)}
 	c.works[w.id] = w
 	return w
 }
@@ -44,7 +44,8 @@
 	s := w.spec()
 	expected := c.history.Expect(s.Account, s.Service, s.Declared)
 	w.rec.State, w.rec.Members = job.Waiting, nil
-	w.rank = queue.Rank{Urgent: w.urgent(), At: queue.At(s.Class, w.rec.Submitted, expected, w.attained), Seq: w.seq}
+	w.rank = queue.Rank{Tier: queue.TierOf(s.Class, expected), At: queue.At(s.Class, w.rec.Submitted, expected, w.attained), Seq: w.seq}
+	w.class = c.classOf(w.rec.Spec, w.rank.Tier)
 	w.acct.queue.Add(w, w.rank)
 	w.queued = true
 	c.demand.Add(w.class.size, 1)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -194,6 +194,7 @@
 		if j.Rank != (queue.Rank{}) {
 			c.dequeue(w)
 			w.rank, w.queued = j.Rank, true
+			w.class = c.classOf(w.rec.Spec, w.rank.Tier)
 			w.acct.queue.Add(w, w.rank)
 			c.demand.Add(w.class.size, 1)
 		}
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -90,7 +90,7 @@
 type classKey struct {
 	account    string
 	shape      job.Shape
-	class      job.Class
+	tier       queue.Tier
 	idempotent bool
 	stoppable  bool
 }
@@ -104,8 +104,8 @@
 
 const maxClasses = 4096
 
-func (c *Core) classOf(s job.Spec) *class {
-	key := classKey{s.Account, s.Shape, s.Class, s.Idempotent, s.Stoppable()}
+func (c *Core) classOf(s job.Spec, tier queue.Tier) *class {
+	key := classKey{s.Account, s.Shape, tier, s.Idempotent, s.Stoppable()}
 	k := c.classes[key]
 	if k == nil {
 		if len(c.classes) >= maxClasses {
--- a/workload/run.go
+++ b/workload/run.go
@@ -160,7 +160,7 @@
 func (r *run) submit(j Job) {
 	l := &live{Job: j, id: j.Spec.ID(), left: j.Run}
 	r.live[l.id] = l
-	l.entitled = r.packs(l, func(o *live) bool { return true })
+	l.entitled = r.packs(l, func(*live) bool { return true })
 	if j.Cancel > 0 {
 		r.at(j.Cancel, func() {
 			if r.live[l.id] != nil {
@@ -332,7 +332,7 @@
 	total, sum, row := 0, 0, make([]int, 0, perRack)
 	for i, n := range r.w.Nodes {
 		f := r.idle[i]
-		if r.down[n.Name] {
+		if r.down[n.Name] || r.w.Bad[n.Name] {
 			f = 0
 		} else {
 			total += n.Capacity.Accelerators
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -133,13 +133,13 @@
 }
 
 // check is a quick check on one accelerator.
-func (m *maker) check(at clock.Millis) *Job {
-	return m.add(at, job.Spec{Service: "check", Class: job.Quick, Idempotent: true, Shape: job.Shape{Tasks: 1, Cores: 2, Accelerators: 1}}, m.between(5*clock.Second, 20*clock.Second))
+func (m *maker) check(at clock.Millis) {
+	m.add(at, job.Spec{Service: "check", Class: job.Quick, Idempotent: true, Shape: job.Shape{Tasks: 1, Cores: 2, Accelerators: 1}}, m.between(5*clock.Second, 20*clock.Second))
 }
 
 // wipe is work on one accelerator that must not be repeated.
-func (m *maker) wipe(at clock.Millis) *Job {
-	return m.add(at, job.Spec{Service: "wipe", Class: job.Batch, Shape: job.Shape{Tasks: 1, Cores: 4, Accelerators: 1}}, m.between(clock.Minute, 5*clock.Minute))
+func (m *maker) wipe(at clock.Millis) {
+	m.add(at, job.Spec{Service: "wipe", Class: job.Batch, Shape: job.Shape{Tasks: 1, Cores: 4, Accelerators: 1}}, m.between(clock.Minute, 5*clock.Minute))
 }
 
 // small is work on a few accelerators of one worker.
@@ -150,16 +150,16 @@
 }
 
 // gang is work on whole workers of one rack.
-func (m *maker) gang(at, lo, hi clock.Millis) *Job {
+func (m *maker) gang(at, lo, hi clock.Millis) {
 	n := []int{2, 2, 2, 3, 4, 4, 8}[m.IntN(7)]
 	s := job.Spec{Service: "reconcile", Class: job.Batch, Checkpoints: true, Shape: job.Shape{Tasks: n, Cores: 16, Accelerators: accels, Adjacent: job.Rack}}
-	return m.add(at, s, m.between(lo, hi))
+	m.add(at, s, m.between(lo, hi))
 }
 
 // urgent is work that has to start within seconds.
-func (m *maker) urgent(at clock.Millis) *Job {
+func (m *maker) urgent(at clock.Millis) {
 	s := job.Spec{Service: "enrol", Class: job.Urgent, Idempotent: true, Shape: job.Shape{Tasks: 1, Cores: 4, Accelerators: 2}}
-	return m.add(at, s, m.between(30*clock.Second, 2*clock.Minute))
+	m.add(at, s, m.between(30*clock.Second, 2*clock.Minute))
 }
 
 // base spreads a mixed load over the time from 0 to until that keeps about share
