scheduler: place guaranteed work in the smallest cell that holds it

Cause: small work of an account took parts of its large cell while a small cell would do, so its next gang found its own guarantee broken up. Change: cells by size, bound ones before owed ones, the fullest first.

--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -38,7 +38,7 @@
 	}
 	may := func(v *work) bool { return v.mode != own && v.spec().Stoppable() || over != nil && over(v) }
 	p := ownPlace{c: c, w: w, cells: cells, over: over, may: may, cause: cause}
-	return p.inBound() || p.inOne() || p.inSeveral()
+	return p.inOne() || p.inBound() || p.inSeveral()
 }
 
 // ownPlace is one try to place a work within its account's guarantee.
@@ -179,28 +179,58 @@
 	return part{node: s.node, tasks: tasks, cover: s.node.Cover(p.w.needs(tasks)), cell: s.cell, offset: s.offset}
 }
 
-// inOne binds the smallest owed cell that holds the whole work and places it there.
+// inOne places the work in the smallest cell that holds it whole, be it bound
+// already or not, so that larger cells stay whole for larger work.
 func (p *ownPlace) inOne() bool {
-	size := 0
-	for _, v := range p.cells {
-		if v.Row != nil || v.Accels == size {
-			continue
+	for i := 0; i < len(p.cells); {
+		same := i
+		for same < len(p.cells) && p.cells[same].Accels == p.cells[i].Accels {
+			same++
 		}
-		size = v.Accels
-		row, start, ok := p.position(v, "", p.w.tasks())
-		if !ok {
-			continue
+		if p.inBoundOf(p.cells[i:same]) || p.inOwed(p.cells[i:same]) {
+			return true
+		}
+		i = same
+	}
+	return false
+}
+
+// inBoundOf places the work in one of the bound cells, the fullest first.
+func (p *ownPlace) inBoundOf(cells []*guarantee.Virtual) bool {
+	var bound []*guarantee.Virtual
+	for _, v := range cells {
+		if v.Row != nil && (v.Reserved == "" || v.Reserved == p.w.id) {
+			bound = append(bound, v)
 		}
-		p.c.ledger.Bind(v, row, start)
-		parts, ok := p.spread(p.spotsOf(v))
-		if ok && p.c.commit(p.w, own, parts, p.may, p.cause) {
+	}
+	slices.SortStableFunc(bound, func(a, b *guarantee.Virtual) int { return cmp.Compare(b.Sum(), a.Sum()) })
+	for _, v := range bound {
+		if parts, ok := p.spread(p.spotsOf(v)); ok && p.c.commit(p.w, own, parts, p.may, p.cause) {
 			return true
 		}
-		p.c.ledger.Unbind(v)
 	}
 	return false
 }
 
+// inOwed binds one of the cells, which are of the same size, and places the work there.
+func (p *ownPlace) inOwed(cells []*guarantee.Virtual) bool {
+	i := slices.IndexFunc(cells, func(v *guarantee.Virtual) bool { return v.Row == nil })
+	if i < 0 {
+		return false
+	}
+	row, start, ok := p.position(cells[i], "", p.w.tasks())
+	if !ok {
+		return false
+	}
+	p.c.ledger.Bind(cells[i], row, start)
+	parts, ok := p.spread(p.spotsOf(cells[i]))
+	if ok && p.c.commit(p.w, own, parts, p.may, p.cause) {
+		return true
+	}
+	p.c.ledger.Unbind(cells[i])
+	return false
+}
+
 func (p *ownPlace) spotsOf(v *guarantee.Virtual) []spot {
 	var spots []spot
 	for i := range v.Used {
