scheduler: move only small work for large gangs

Cause: the widest gangs pushed out narrower ones, which then waited again. Change: work of more than Options.Large accelerators is not moved.

--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -54,9 +54,9 @@
 }
 
 // movable reports whether v may be moved for the large gang w: it can be stopped,
-// is smaller, and nothing was moved for it.
+// is no large gang itself beyond one worker, and nothing was moved for it.
 func (c *Core) movable(v, w *work) bool {
-	return v.spec().Stoppable() && !v.urgent() && !v.gang && v.accels() < w.accels()
+	return v.spec().Stoppable() && !v.urgent() && !v.gang && v.accels() < w.accels() && v.accels() <= c.opts.Large
 }
 
 // hold closes that one of the account's bound cells to its smaller work which
