scheduler: let small work borrow idle workers before cells are bound for it

Cause: each small job of an account bound a cell and stopped the borrowers there, although idle workers stood elsewhere. Change: small work that can be stopped borrows idle workers first while its account's guarantee would cover it; accounts are charged only for what they hold beyond their guarantee.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -17,7 +17,7 @@
 	}
 	for _, a := range c.accounts {
 		if len(c.ledger.Of(a.name)) > 0 {
-			c.each(a, nil, func(w *work) bool { return w.needsAccels() && c.placeOwn(w) })
+			c.each(a, nil, func(w *work) bool { return w.needsAccels() && (c.placeIdle(w) || c.placeOwn(w)) })
 		}
 	}
 	c.placeFair(queue.Quick)
@@ -25,6 +25,29 @@
 	c.makeRoom()
 }
 
+// placeIdle lets small work that can be stopped borrow idle workers as long as its
+// account's guarantee would cover it, so that cells are bound and borrowers stopped
+// only for work that needs it.
+func (c *Core) placeIdle(w *work) bool {
+	if c.large(w) || w.plain() && w.class.borrow == c.version {
+		return false
+	}
+	return w.acct.borrowed+int64(w.accels()*accelShare) <= c.unused(w.acct) && c.placeBorrow(w)
+}
+
+// unused returns what the account is guaranteed and does not hold in its cells, in
+// shares.
+func (c *Core) unused(a *account) int64 {
+	sum := 0
+	for _, v := range c.ledger.Of(a.name) {
+		sum += v.Accels - v.Sum()
+	}
+	return int64(sum * accelShare)
+}
+
+// beyond returns what the account holds beyond its guarantee, in shares.
+func (c *Core) beyond(a *account) int64 { return max(a.borrowed-c.unused(a), 0) }
+
 // each calls place for the account's waiting jobs in order, as long as while
 // holds, and reports whether any was placed.
 func (c *Core) each(a *account, while func(*work) bool, place func(*work) bool) {
@@ -53,7 +76,7 @@
 			if at[i] >= a.queue.Len() || a.queue.Rank(at[i]).Tier > last {
 				continue
 			}
-			if next < 0 || a.borrowed*c.accounts[next].weight < c.accounts[next].borrowed*a.weight {
+			if next < 0 || c.beyond(a)*c.accounts[next].weight < c.beyond(c.accounts[next])*a.weight {
 				next = i
 			}
 		}
