--- a/guarantee/ledger.go
+++ b/guarantee/ledger.go
@@ -15,9 +15,10 @@
 	// Row is nil while the cell is unbound.
 	Row *cell.Row
 	// Start is the slot of the first worker and Used the accelerators that the
-	// account's work occupies on each worker from there.
+	// account's work occupies on each worker from there; change it through Take.
 	Start int
 	Used  []int
+	sum   int
 	// Reserved is the job for which the cell is being emptied, or "".
 	Reserved string
 }
@@ -26,12 +27,12 @@
 func (v *Virtual) Size() int { return min(v.Accels, v.Row.Accels) }
 
 // Sum returns the accelerators that the account's work occupies in the cell.
-func (v *Virtual) Sum() int {
-	sum := 0
-	for _, n := range v.Used {
-		sum += n
-	}
-	return sum
+func (v *Virtual) Sum() int { return v.sum }
+
+// Take adds n to the accelerators in use on the worker at position i.
+func (v *Virtual) Take(i, n int) {
+	v.Used[i] += n
+	v.sum += n
 }
 
 // Worker returns the worker at position i of the cell, or nil.
@@ -86,7 +87,7 @@
 func (l *Ledger) Unbind(v *Virtual) {
 	l.mark(v, -1)
 	l.Owed.Add(v.Accels, 1)
-	v.Row, v.Used = nil, nil
+	v.Row, v.Used, v.sum = nil, nil, 0
 }
 
 func (l *Ledger) mark(v *Virtual, sign int) {
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -205,7 +205,7 @@
 			}
 		})
 		if p.cell != nil {
-			p.cell.Used[p.offset] += p.cover
+			p.cell.Take(p.offset, p.cover)
 		} else {
 			w.share += int64(p.cover * accelShare)
 			if p.node.Capacity.Accelerators == 0 {
@@ -239,7 +239,7 @@
 			}
 		})
 		if p.cell != nil {
-			p.cell.Used[p.offset] -= p.cover
+			p.cell.Take(p.offset, -p.cover)
 		}
 		p.node.works = slices.DeleteFunc(p.node.works, func(x *work) bool { return x == w })
 		c.tracker.Gave(p.node.Name, w.id)
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -56,13 +56,22 @@
 		if while != nil && !while(w) {
 			return
 		}
-		if !c.withinQuota(w) || !place(w) {
+		if c.hopeless(w) || !c.withinQuota(w) || !place(w) {
 			i++
 		}
 	}
 }
 
+// hopeless reports whether work of this class was seen not to fit, within its
+// guarantee or beyond it, since anything became free.
+func (c *Core) hopeless(w *work) bool {
+	return w.class.own == c.version && w.class.borrow == c.version && w.plain() && !w.urgent()
+}
+
 func (c *Core) withinQuota(w *work) bool {
+	if w.acct.quota == (job.Resources{}) {
+		return true
+	}
 	return within(w.acct.used.Add(w.needs(w.tasks())), w.acct.quota)
 }
 
@@ -111,7 +120,7 @@
 // placeUrgent starts urgent work wherever it may run, and stops less urgent work
 // for it.
 func (c *Core) placeUrgent(w *work) bool {
-	if w.plain() && w.class.reserve == c.version {
+	if w.plain() && w.class.over == c.version {
 		return false
 	}
 	lesser := func(v *work) bool { return !v.urgent() && v.spec().Stoppable() }
@@ -119,7 +128,7 @@
 		c.placeOwnOver(w, func(v *work) bool { return lesser(v) && v.acct == w.acct }, CauseReclaim) ||
 		c.placeOver(w, func(v *work) bool { return lesser(v) && v.mode != own }, CauseReclaim)
 	if !placed && w.plain() {
-		w.class.reserve = c.version
+		w.class.over = c.version
 	}
 	return placed
 }
--- a/scheduler/gangs.go
+++ b/scheduler/gangs.go
@@ -19,7 +19,12 @@
 	for _, a := range c.accounts {
 		for i := 0; i < a.queue.Len(); {
 			w := a.queue.At(i)
-			if !c.large(w) || c.now-w.since < c.drainAfter() || !c.withinQuota(w) || !c.makeRoomFor(w) {
+			if !c.large(w) || w.tried == c.version || c.now-w.since < c.drainAfter() || !c.withinQuota(w) {
+				i++
+				continue
+			}
+			if !c.makeRoomFor(w) {
+				w.tried = c.version
 				i++
 			}
 		}
@@ -82,14 +87,8 @@
 // reserve closes the workers that are the cheapest to empty to other borrowers. At
 // most half of the workers are closed at any time.
 func (c *Core) reserve(w *work, over func(*work) bool) {
-	if w.plain() && w.class.reserve == c.version {
-		return
-	}
 	members, ok := c.choose(w, c.roomsOver(w, over, func(*node) bool { return true }))
 	if !ok || 2*(len(c.reserved)+len(members)) > len(c.nodes) {
-		if w.plain() {
-			w.class.reserve = c.version
-		}
 		return
 	}
 	for _, m := range members {
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -17,7 +17,7 @@
 	if w.plain() && w.class.own == c.version {
 		return false
 	}
-	if c.placeOwnOver(w, nil, CauseReclaim) {
+	if int64(w.accels()*accelShare) <= c.unused(w.acct) && c.placeOwnOver(w, nil, CauseReclaim) {
 		return true
 	}
 	if w.plain() {
@@ -82,11 +82,14 @@
 	if cw == nil || !cw.Usable {
 		return spot{}, false
 	}
+	left := v.Size() - v.Used[i]
+	if p.over == nil && left < max(p.w.spec().Shape.Accelerators, 1) {
+		return spot{}, false
+	}
 	n := p.c.nodes[cw.Name]
 	if !p.c.eligibleOwn(n, p.w) {
 		return spot{}, false
 	}
-	left := v.Size() - v.Used[i]
 	if p.over != nil {
 		left += p.leaving(v, i, n)
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -66,6 +66,8 @@
 	Failures int          `json:"failures,omitempty"`
 	Gang     bool         `json:"gang,omitempty"`
 	Emptied  []string     `json:"emptied,omitempty"`
+	// Tried tells that no room can be made for the job until something changes.
+	Tried bool `json:"tried,omitempty"`
 }
 
 // PartState is what a job occupies on one worker.
@@ -94,7 +96,9 @@
 		}
 	}
 	for _, w := range c.bySeq() {
-		s.Jobs = append(s.Jobs, w.state())
+		j := w.state()
+		j.Tried = w.tried == c.version
+		s.Jobs = append(s.Jobs, j)
 	}
 	return s
 }
@@ -154,6 +158,11 @@
 	for _, w := range found {
 		c.adopt(w)
 	}
+	for _, j := range s.Jobs {
+		if w := c.works[j.Record.Spec.ID()]; w != nil && j.Tried {
+			w.tried = c.version
+		}
+	}
 	c.due = c.nextDue()
 }
 
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -53,6 +53,8 @@
 	held *guarantee.Virtual
 	// emptied lists the workers that are being emptied for this work.
 	emptied []string
+	// tried is the version at which no room could be made for this work.
+	tried int64
 }
 
 // part is what work occupies on one worker, in one cell if it runs in its guarantee.
@@ -97,7 +99,7 @@
 
 // class remembers at which version jobs of one kind were last seen not to fit.
 type class struct {
-	own, borrow, reserve int64
+	own, borrow, over int64
 	// size is the largest cell that a task or an adjacent gang needs.
 	size int
 }
