--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -17,7 +17,7 @@
 	if w.plain() && w.class.own == c.version {
 		return false
 	}
-	if int64(w.accels()*accelShare) <= c.unused(w.acct) && c.placeOwnOver(w, nil, CauseReclaim) {
+	if c.covered(w) && c.placeOwnOver(w, nil, CauseReclaim) {
 		return true
 	}
 	if w.plain() {
@@ -26,6 +26,17 @@
 	return false
 }
 
+// covered reports whether the account's guarantee has room for the work. Small work
+// that can be stopped has to leave room for what the account borrows, so that it
+// does not stop its like.
+func (c *Core) covered(w *work) bool {
+	needs := int64(w.accels() * accelShare)
+	if w.spec().Stoppable() && !c.large(w) && !w.urgent() {
+		needs += w.acct.borrowed
+	}
+	return needs <= c.unused(w.acct)
+}
+
 // placeOwnOver places work within its account's guarantee and stops borrowers for
 // it, and works of the guarantee itself for which over is true.
 func (c *Core) placeOwnOver(w *work, over func(*work) bool, cause Cause) bool {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -31,6 +31,8 @@
 	// bound under another text.
 	spoiled map[int]bool
 	changed bool
+	// seen is the actions of the latest step.
+	seen []scheduler.Action
 }
 
 // truth is what the world knows of a job that has not ended.
@@ -58,6 +60,7 @@
 			w.fail("a core loaded from a snapshot decides otherwise at %s:\n%s\n%s", encode(e), want, got)
 		}
 	}
+	w.seen = actions
 	for _, a := range actions {
 		w.act(a)
 	}
