--- a/scheduler/promise_test.go
+++ b/scheduler/promise_test.go
@@ -16,10 +16,7 @@
 )
 
 // bench is a core on the fleet of the property tests, whose checks it keeps.
-type bench struct {
-	*world
-	acts []scheduler.Action
-}
+type bench struct{ *world }
 
 func newBench(t *text.Text) *bench {
 	b := &bench{world: newWorld(func(f string, a ...any) {
@@ -203,10 +200,8 @@
 var _ = DescribeTable("jobs that can never run are refused at the door",
 	func(s job.Spec, reason outcome.Reason) {
 		b := newBench(full)
-		want := []string{}
 		if reason != "" {
-			want = []string{"end " + s.ID() + " failed " + string(reason)}
-			Expect(kinds(b.submit(s))).To(Equal(want))
+			Expect(kinds(b.submit(s))).To(Equal([]string{"end " + s.ID() + " failed " + string(reason)}))
 			return
 		}
 		Expect(kinds(b.submit(s))).NotTo(ContainElement(HavePrefix("end")))
