config: number texts by the clock, settle lost answers, hear from peers

Cause: a revision was the store's version, so a store that lost data made revisions go back or stick; a read back that was itself stale or that met a later text told "not accepted" of a text that was; entries cut from the platform got no text at all. Ruled out: plain counters (two texts of one number after data loss); writing back after several stale-looking reads (the compare-and-swap decides alone). Conclusion: entries follow the highest accepted revision they can hear of.

--- /dev/null
+++ b/config/apply.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/platform"
+)
+
+const (
+	// settleTime bounds how long the fate of a write is looked for, in milliseconds.
+	settleTime = 5 * clock.Second
+	settleWait = 100 * clock.Millisecond
+)
+
+// ConflictError tells that the text was changed by somebody else first.
+type ConflictError struct {
+	Base    uint64
+	Current Snapshot
+}
+
+// Error formats both revisions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("text has moved on from revision %d to %d", e.Base, e.Current.Revision)
+}
+
+// RefusedError tells that the text was certainly not accepted, for a reason of the store.
+type RefusedError struct{ Err error }
+
+// Error formats the cause.
+func (e *RefusedError) Error() string { return fmt.Sprintf("text was not accepted: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// UnclearError tells that the text may have been accepted under Revision.
+type UnclearError struct {
+	Revision uint64
+	Err      error
+}
+
+// Error formats the cause.
+func (e *UnclearError) Error() string {
+	return fmt.Sprintf("text may have been accepted as revision %d: %v", e.Revision, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnclearError) Unwrap() error { return e.Err }
+
+var (
+	errStale  = errors.New("the store shows an older text than its versions tell")
+	errBehind = errors.New("the revision to replace has not reached this entry")
+	errBroken = errors.New("the store has lost the history of the text")
+)
+
+// Apply accepts a text that was made from revision base and returns its revision.
+// It fails with *ConflictError, *RefusedError, *UnclearError, or the error of Check.
+func (h *Holder) Apply(ctx context.Context, base uint64, raw []byte) (uint64, error) {
+	t, err := h.opts.Check(raw)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTime.Duration())
+	defer cancel()
+	for {
+		revision, err := h.try(ctx, base, raw)
+		if errors.Is(err, errStale) && pause(ctx) {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		h.Adopt(Snapshot{Revision: revision, Raw: raw, Text: t})
+		return revision, nil
+	}
+}
+
+// try writes a text once. Its error is a *RefusedError of errStale when the version
+// that was written over came from a stale read.
+func (h *Holder) try(ctx context.Context, base uint64, raw []byte) (uint64, error) {
+	current, err := h.current(ctx)
+	if err != nil {
+		return 0, &RefusedError{err}
+	}
+	known, err := h.newest(current)
+	if err != nil {
+		return 0, &RefusedError{err}
+	}
+	if known.Revision < base {
+		return 0, &RefusedError{errBehind}
+	}
+	if known.Revision > base {
+		return 0, &ConflictError{Base: base, Current: known}
+	}
+	w := write{Revision: h.revision(base), Token: rand.Text()}
+	return w.Revision, h.put(ctx, base, current, current.next(w, raw))
+}
+
+// revision returns the number of the text after base. It follows the clock in
+// seconds, so that numbers grow even after the store has lost the last of them.
+func (h *Holder) revision(base uint64) uint64 {
+	return max(base+1, uint64(h.opts.Clock.Now()/clock.Second))
+}
+
+// current reads the value in the store; a missing one has version and revision 0.
+func (h *Holder) current(ctx context.Context) (stored, error) {
+	e, err := h.opts.Store.Get(ctx, Key)
+	if platform.KindOf(err) == platform.Missing {
+		return stored{}, nil
+	}
+	if err != nil {
+		return stored{}, err
+	}
+	return decode(e)
+}
+
+// newest returns the newer of the stored text and the one in force.
+func (h *Holder) newest(s stored) (Snapshot, error) {
+	if s.Revision <= h.Now().Revision {
+		return h.Now(), nil
+	}
+	snapshot, err := s.snapshot()
+	if err != nil {
+		return Snapshot{}, err
+	}
+	h.Adopt(snapshot)
+	return snapshot, nil
+}
+
+// put writes next over current. A write whose fate is unclear is repeated as it is:
+// of two equal writes on one version at most one takes effect, so a second that wins
+// settles the first, and a second that loses tells that something took effect.
+func (h *Holder) put(ctx context.Context, base uint64, current, next stored) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return &RefusedError{err}
+	}
+	unclear := false
+	for {
+		_, err := h.opts.Store.Put(ctx, Key, current.version, value)
+		switch platform.KindOf(err) {
+		case platform.OK:
+			return nil
+		case platform.Conflict:
+			return h.settle(ctx, base, current, next, unclear)
+		case platform.Refused:
+			if !unclear {
+				return &RefusedError{err}
+			}
+		default:
+			unclear = true
+		}
+		if !pause(ctx) {
+			return &UnclearError{next.Revision, err}
+		}
+	}
+}
+
+// settle reads back after a write that met another version.
+func (h *Holder) settle(ctx context.Context, base uint64, before, own stored, unclear bool) error {
+	for {
+		now, err := h.current(ctx)
+		if err == nil && now.version <= before.version {
+			err = errStale
+		}
+		if err == nil {
+			return h.judge(base, before, own, now, unclear)
+		}
+		if pause(ctx) {
+			continue
+		}
+		if unclear {
+			return &UnclearError{own.Revision, err}
+		}
+		return &RefusedError{err}
+	}
+}
+
+// judge tells from the value that stands now, which is of another version than the
+// one written over, whether the own write took effect.
+func (h *Holder) judge(base uint64, before, own, now stored, unclear bool) error {
+	if now.has(own.Token) || now.Revision == own.Revision && bytes.Equal(now.Raw, own.Raw) {
+		return nil
+	}
+	if now.Revision <= base {
+		return &RefusedError{errStale}
+	}
+	if unclear && !now.follows(before) {
+		return &UnclearError{own.Revision, errBroken}
+	}
+	known, err := h.newest(now)
+	if err != nil {
+		return &RefusedError{err}
+	}
+	return &ConflictError{Base: base, Current: known}
+}
+
+// pause waits a moment between two calls about the same write.
+func pause(ctx context.Context) bool {
+	return clock.Sleep(ctx, settleWait/2+mathrand.N(settleWait))
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,202 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/config"
+	"github.com/chestnutsail/chestnutsail/platformtest"
+	"github.com/chestnutsail/chestnutsail/text"
+)
+
+// inForce is the promised bound on the spread of an accepted text.
+const inForce = 4 * time.Second
+
+func revisionOf(h *config.Holder) func() uint64 {
+	return func() uint64 { return h.Now().Revision }
+}
+
+var _ = Describe("an accepted text", func() {
+	var s *site
+	ctx := context.Background()
+
+	apply := func(h *config.Holder, base uint64, firm any) uint64 {
+		GinkgoHelper()
+		revision, err := h.Apply(ctx, base, body(firm))
+		Expect(err).NotTo(HaveOccurred())
+		return revision
+	}
+	everywhere := func(revision uint64) {
+		GinkgoHelper()
+		for _, h := range s.holders {
+			Eventually(revisionOf(h)).WithTimeout(inForce).Should(Equal(revision))
+		}
+	}
+
+	BeforeEach(func() { s = newSite(3) })
+
+	It("comes into force at every entry", func() {
+		everywhere(apply(s.holders[0], 0, "perth"))
+	})
+
+	It("is known to an entry that the store does not answer, through its peers", func() {
+		cut := s.enter("http://127.0.0.1:1", 0)
+		everywhere(apply(s.holders[0], 0, "perth"))
+		Expect(cut.Now().Text.Firm).To(Equal("perth"))
+	})
+
+	It("is known to an entry without peers, through the store", func() {
+		s.seats[2].setCut(true)
+		everywhere(apply(s.holders[0], 0, "perth"))
+	})
+
+	It("reaches an entry that starts while the store is down", func() {
+		revision := apply(s.holders[0], 0, "perth")
+		s.store.SetFaults(platformtest.Faults{Down: true})
+		s.enter(s.server.URL, 0)
+		everywhere(revision)
+	})
+
+	It("reaches an entry whose watch is stuck and that has no peers, in a bounded time", func() {
+		var stuck atomic.Bool
+		stuck.Store(true)
+		front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Has("index") && stuck.Swap(false) {
+				<-r.Context().Done()
+				return
+			}
+			s.store.ServeHTTP(w, r)
+		}))
+		DeferCleanup(front.Close)
+		s.enter(front.URL, 500*clock.Millisecond)
+		s.seats[3].setCut(true)
+		time.Sleep(50 * time.Millisecond)
+		everywhere(apply(s.holders[0], 0, "perth"))
+	})
+
+	It("does not go back when reads turn stale", func() {
+		first := apply(s.holders[0], 0, "perth")
+		everywhere(first)
+		s.store.SetFaults(platformtest.Faults{StaleReads: true})
+		late := s.enter(s.server.URL, 0)
+		Eventually(revisionOf(late)).Should(Equal(first))
+		second := apply(s.holders[0], first, "lahore")
+		Expect(second).To(BeNumerically(">", first))
+		everywhere(second)
+		for _, h := range s.holders {
+			Consistently(revisionOf(h)).WithTimeout(300 * time.Millisecond).Should(Equal(second))
+		}
+	})
+
+	DescribeTable("neither goes back nor sticks when the store loses it", func(spread bool) {
+		first := apply(s.holders[0], 0, "perth")
+		if spread {
+			everywhere(first)
+		}
+		empty := platformtest.New(platformtest.Options{})
+		s.serving.Store(empty)
+		if spread {
+			Eventually(func() bool { _, ok := empty.Value(config.Key); return ok }).WithTimeout(10 * time.Second).Should(BeTrue())
+		}
+		everywhere(apply(s.holders[0], first, "lahore"))
+		Expect(s.holders[2].Now().Text.Firm).To(Equal("lahore"))
+	},
+		Entry("and it was in force everywhere: it is written back", true),
+		Entry("and a new one is applied at once", false),
+	)
+
+	It("gets a higher revision than any before, even where those are not known", func() {
+		s.clock.Advance(5 * clock.Second)
+		first := apply(s.holders[0], 0, "perth")
+		everywhere(first)
+		s.clock.Advance(5 * clock.Second)
+		other := newSite(0)
+		other.clock = s.clock
+		Expect(apply(other.enter(other.server.URL, 0), 0, "lahore")).To(BeNumerically(">", first))
+	})
+
+	It("was checked first", func() {
+		h := config.New(config.Options{Check: func([]byte) (*text.Text, error) { return nil, errors.New("guarantees can't be formed") }, Store: noStore{}})
+		DeferCleanup(func() { _ = h.Stop(ctx) })
+		_, err := h.Apply(ctx, 0, body("perth"))
+		Expect(err).To(MatchError("guarantees can't be formed"))
+	})
+})
+
+var _ = Describe("an operator's change", func() {
+	var s *site
+	ctx := context.Background()
+
+	BeforeEach(func() { s = newSite(2) })
+
+	It("loses to one that was made first and shows it", func() {
+		first, err := s.holders[0].Apply(ctx, 0, body("perth"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.holders[1].Apply(ctx, 0, body("lahore"))
+		var conflict *config.ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue(), "%v", err)
+		Expect(conflict.Current.Revision).To(Equal(first))
+		Expect(string(conflict.Current.Raw)).To(Equal(string(body("perth"))))
+	})
+
+	DescribeTable("is told as accepted when the store's answer is lost", func(f platformtest.Faults) {
+		s.store.SetFaults(f)
+		revision, err := s.holders[0].Apply(ctx, 0, body("perth"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(revisionOf(s.holders[1])).WithTimeout(inForce).Should(Equal(revision))
+	},
+		Entry("once", platformtest.Faults{LoseAnswers: 1}),
+		Entry("and the write lands late", platformtest.Faults{LateWrites: 1, LateBy: 400 * clock.Millisecond}),
+	)
+
+	It("is told as accepted when its answer is lost and another's change follows at once", func() {
+		s.store.SetFaults(platformtest.Faults{LoseAnswers: 1})
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.holders[0].Apply(ctx, 0, body("perth"))
+			done <- err
+		}()
+		Eventually(revisionOf(s.holders[1])).WithTimeout(inForce).ShouldNot(BeZero())
+		_, err := s.holders[1].Apply(ctx, s.holders[1].Now().Revision, body("lahore"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(<-done).NotTo(HaveOccurred())
+	})
+
+	DescribeTable("is told as unclear when its fate can't be found out", func(then platformtest.Faults) {
+		s.store.SetFaults(platformtest.Faults{LoseAnswers: 1, StaleReads: then.StaleReads})
+		go func() {
+			for len(s.store.Keys("")) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			s.store.SetFaults(then)
+		}()
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, err := s.holders[0].Apply(short, 0, body("perth"))
+		var unclear *config.UnclearError
+		Expect(errors.As(err, &unclear)).To(BeTrue(), "%v", err)
+	},
+		Entry("since reads are stale", platformtest.Faults{StaleReads: true}),
+		Entry("since the store is down", platformtest.Faults{Down: true}),
+	)
+
+	DescribeTable("is told as not accepted when it certainly was not", func(f platformtest.Faults, base uint64) {
+		s.store.SetFaults(f)
+		_, err := s.holders[0].Apply(ctx, base, body("perth"))
+		var refused *config.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue(), "%v", err)
+		s.store.SetFaults(platformtest.Faults{})
+		Expect(s.store.Keys("")).To(BeEmpty())
+	},
+		Entry("the store is down", platformtest.Faults{Down: true}, uint64(0)),
+		Entry("the revision to replace is not known here", platformtest.Faults{}, uint64(9)),
+	)
+})
--- /dev/null
+++ b/config/history_test.go
@@ -0,0 +1,191 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/config"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platformtest"
+)
+
+// noStore is a store that never answers.
+type noStore struct{}
+
+func (noStore) Put(context.Context, string, uint64, []byte) (uint64, error) {
+	return 0, &platform.Error{Kind: platform.Refused}
+}
+
+func (noStore) Get(context.Context, string) (platform.Entry, error) {
+	return platform.Entry{}, &platform.Error{Kind: platform.Refused}
+}
+
+func (noStore) Watch(ctx context.Context, _ string, _ uint64, wait clock.Millis) ([]platform.Entry, uint64, error) {
+	clock.Sleep(ctx, wait)
+	return nil, 0, &platform.Error{Kind: platform.Refused}
+}
+
+// answer is what an operator was told.
+type answer int
+
+const (
+	accepted answer = iota
+	conflict
+	refused
+	unclear
+)
+
+// change is the outcome of one Apply as an operation of the register.
+type change struct {
+	answer   answer
+	revision uint64
+}
+
+// register is the text as operators see it: a compare-and-swap on revisions. Refused
+// changes took no effect, unclear ones may have taken effect at any later time.
+var register = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		now, base, out := state.(uint64), input.(uint64), output.(change)
+		switch out.answer {
+		case accepted:
+			if now == base && out.revision > base {
+				return []any{out.revision}
+			}
+			return nil
+		case conflict:
+			if now == base {
+				return nil
+			}
+			return []any{now}
+		case unclear:
+			if now == base {
+				return []any{now, out.revision}
+			}
+		}
+		return []any{now}
+	},
+}).ToModel()
+
+func told(err error, revision uint64) change {
+	var c *config.ConflictError
+	var u *config.UnclearError
+	switch {
+	case err == nil:
+		return change{accepted, revision}
+	case errors.As(err, &c):
+		return change{answer: conflict}
+	case errors.As(err, &u):
+		return change{unclear, u.Revision}
+	default:
+		return change{answer: refused}
+	}
+}
+
+// observe records what each entry runs until stop is closed.
+func observe(holders []*config.Holder, stop <-chan struct{}) [][]uint64 {
+	seen := make([][]uint64, len(holders))
+	for {
+		for i, h := range holders {
+			r := h.Now().Revision
+			if n := len(seen[i]); n == 0 || seen[i][n-1] != r {
+				seen[i] = append(seen[i], r)
+			}
+		}
+		select {
+		case <-stop:
+			return seen
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+var _ = DescribeTable("operators who race at several entries while the store fails", func(seed uint64) {
+	s := newSite(4)
+	start := time.Now()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var operators sync.WaitGroup
+	for i, h := range s.holders {
+		r := rand.New(rand.NewPCG(seed, uint64(i)))
+		operators.Go(func() {
+			for n := range 12 {
+				base := h.Now().Revision
+				ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+				call := time.Since(start).Nanoseconds()
+				revision, err := h.Apply(ctx, base, body(i*100+n))
+				cancel()
+				op := porcupine.Operation{ClientId: i, Input: base, Call: call, Output: told(err, revision), Return: time.Since(start).Nanoseconds()}
+				if op.Output.(change).answer == unclear {
+					op.Return = math.MaxInt64
+				}
+				mu.Lock()
+				history = append(history, op)
+				mu.Unlock()
+				time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
+			}
+		})
+	}
+	stop, done := make(chan struct{}), make(chan [][]uint64)
+	go func() { done <- observe(s.holders, stop) }()
+	troubled := make(chan struct{})
+	go func() {
+		defer close(troubled)
+		trouble(s.store, rand.New(rand.NewPCG(seed, 99)), stop)
+	}()
+	operators.Wait()
+	close(stop)
+	seen := <-done
+	<-troubled
+	s.store.SetFaults(platformtest.Faults{})
+
+	Expect(porcupine.CheckOperations(register, history)).To(BeTrue(), "%+v", history)
+	known := map[uint64]bool{0: true}
+	for _, op := range history {
+		known[op.Output.(change).revision] = true
+	}
+	for _, revisions := range seen {
+		for i, r := range revisions {
+			Expect(known).To(HaveKey(r))
+			Expect(i == 0 || r > revisions[i-1]).To(BeTrue(), "went back: %v", revisions)
+		}
+	}
+	Eventually(func(g Gomega) {
+		for _, h := range s.holders[1:] {
+			g.Expect(h.Now().Revision).To(Equal(s.holders[0].Now().Revision))
+		}
+	}).WithTimeout(inForce).Should(Succeed())
+},
+	Entry("seed 1", uint64(1)),
+	Entry("seed 2", uint64(2)),
+	Entry("seed 3", uint64(3)),
+)
+
+// trouble shows one fault of the store after the other until stop is closed.
+func trouble(store *platformtest.Server, r *rand.Rand, stop <-chan struct{}) {
+	for {
+		faults := []platformtest.Faults{
+			{},
+			{LoseAnswers: 2},
+			{LateWrites: 2, LateBy: clock.Millis(r.Int64N(200))},
+			{StaleReads: true},
+			{Down: true},
+			{Slow: clock.Millis(r.Int64N(50)), LoseAnswers: 1},
+		}
+		store.SetFaults(faults[r.IntN(len(faults))])
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(50+r.IntN(150)) * time.Millisecond):
+		}
+	}
+}
