--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -6,28 +6,46 @@
 	"time"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/outcome"
 	"github.com/chestnutsail/chestnutsail/worker"
 )
 
 // run runs a quick task to its end. A known ID is answered from what is known.
 func (s *Server) run(in worker.Task) (worker.Task, worker.Refusal) {
+	t, no := s.begin(in)
+	if no != "" {
+		return worker.Task{}, no
+	}
+	<-t.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !t.Keep && s.tasks[t.ID] == t {
+		delete(s.tasks, t.ID)
+	}
+	return s.shown(t), ""
+}
+
+// begin starts a quick task, or finds it when its ID is known.
+func (s *Server) begin(in worker.Task) (*task, worker.Refusal) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replaced(in.Incarnation) {
+		return nil, worker.Replaced
+	}
 	t, known := s.tasks[in.ID]
 	if known && in.Attempt < t.Attempt {
-		s.mu.Unlock()
-		return worker.Task{}, worker.Fenced
+		return nil, worker.Fenced
 	}
-	if !known || (in.Attempt > t.Attempt && !t.State.Holds() && t.State != worker.Finished) {
-		if no := s.admit(in); no != "" {
-			s.mu.Unlock()
-			return worker.Task{}, no
-		}
-		t = s.add(in, worker.Running)
-		s.execute(t)
+	if known && (in.Attempt == t.Attempt || t.State.Holds() || t.State == worker.Finished) {
+		return t, ""
 	}
-	s.mu.Unlock()
-	<-t.done
-	return s.lookup(in.ID)
+	if no := s.admit(in); no != "" {
+		return nil, no
+	}
+	t = s.add(in, worker.Running)
+	s.execute(t)
+	s.extend(t, in.Lease)
+	return t, ""
 }
 
 // reserve holds capacity for a task.
@@ -69,7 +87,7 @@
 	}
 	if t.State == worker.Reserved {
 		t.State = worker.Throttled
-		t.Payload, t.Checkpoint = in.Payload, in.Checkpoint
+		t.Payload, t.Checkpoint, t.Gang = in.Payload, in.Checkpoint, in.Gang
 		t.script = parse(in.Payload)
 	}
 	s.extend(t, in.Lease)
@@ -92,11 +110,18 @@
 		t.State = worker.Running
 		s.execute(t)
 	}
+	if in.Whole && !t.Whole {
+		t.Whole = true
+		s.touch(t)
+	}
 	return s.shown(t), ""
 }
 
 // stop ends a task. Stubborn work uses up the whole grace and leaves no checkpoint.
 func (s *Server) stop(in worker.Stop) (worker.Task, worker.Refusal) {
+	if in.Fence {
+		return s.fence(in)
+	}
 	s.mu.Lock()
 	t, known := s.tasks[in.ID]
 	if s.fenced(in.ID, in.Attempt, in.Term) {
@@ -131,31 +156,59 @@
 	return s.shown(t), ""
 }
 
-type renewal struct {
-	Term     int64            `json:"term"`
-	Renewals []worker.Renewal `json:"renewals"`
-}
-
-// renew extends leases and reports where each task stands.
-func (s *Server) renew(in renewal) ([]worker.Task, worker.Refusal) {
+// renew extends the leases of whole tasks and reports the tasks that changed.
+func (s *Server) renew(in worker.Renewal) (worker.Report, worker.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if in.Term < s.term {
-		return nil, worker.Fenced
+		return worker.Report{}, worker.Fenced
+	}
+	s.term = in.Term
+	for _, t := range s.tasks {
+		if t.Whole && t.State.Holds() {
+			s.extend(t, in.Lease)
+		}
 	}
-	out := make([]worker.Task, len(in.Renewals))
-	for i, r := range in.Renewals {
-		t, ok := s.tasks[r.ID]
-		if !ok || t.Attempt != r.Attempt {
-			out[i] = worker.Task{ID: r.ID, Attempt: r.Attempt, State: worker.Lapsed}
-			continue
+	deadline := time.After(in.Wait.Duration())
+	for waiting := in.Wait > 0; waiting && s.change == in.Since; {
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			waiting = false
 		}
-		if t.State.Holds() {
-			s.extend(t, r.Lease)
+		s.mu.Lock()
+	}
+	return s.delta(in.Since), ""
+}
+
+// delta reports the gang tasks that changed since a change. A change that the
+// worker has not come to yet was seen before it restarted.
+func (s *Server) delta(since uint64) worker.Report {
+	if since > s.change {
+		since = 0
+	}
+	r := worker.Report{Free: s.free, Leaving: s.leaving, Change: s.change}
+	for _, t := range s.tasks {
+		if t.Term > 0 && t.change > since {
+			out := s.shown(t)
+			out.Payload, out.Result = nil, nil
+			r.Tasks = append(r.Tasks, out)
 		}
-		out[i] = s.shown(t)
 	}
-	return out, ""
+	return r
+}
+
+// touch notes a change of a gang task and wakes the renewals that wait for one.
+func (s *Server) touch(t *task) {
+	if t.Term == 0 {
+		return
+	}
+	s.change++
+	t.change = s.change
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // release forgets an ended task.
@@ -219,6 +272,7 @@
 		s.free = s.free.Sub(in.Needs)
 	}
 	s.tasks[in.ID] = t
+	s.touch(t)
 	return t
 }
 
@@ -249,6 +303,7 @@
 	}
 	t.Used = s.used(t)
 	t.State, t.Result = state, result
+	s.touch(t)
 	s.free = s.free.Add(t.Needs)
 	if t.entry >= 0 {
 		s.journal[t.entry].End = s.opts.Clock.Now()
@@ -286,6 +341,9 @@
 
 func (s *Server) shown(t *task) worker.Task {
 	out := t.Task
+	out.Incarnation = s.incarnation
+	out.Ran = t.entry >= 0
+	out.Hash = outcome.Hash(out.Result)
 	if t.State == worker.Running {
 		out.Used = s.used(t)
 	}
