--- a/worker/worker.go
+++ b/worker/worker.go
@@ -81,7 +81,8 @@
 	// Incarnation names the process of the worker. A call that carries one is refused
 	// as Replaced by any other process; "" reaches whichever runs.
 	Incarnation string `json:"incarnation,omitempty"`
-	// Keep asks the worker to keep a quick task after its end until Release.
+	// Keep asks the worker to keep a quick task after its end until Release, and to fence
+	// an attempt that it refuses.
 	Keep bool `json:"keep,omitempty"`
 
 	// State, Ran, Result, Hash and Used are filled in by the worker.
@@ -222,7 +223,8 @@
 	return out, err
 }
 
-// Release forgets the result of an ended task.
+// Release forgets the result of an ended task. Its attempt stays fenced, for at
+// least an hour, so that a delayed copy of a call can't run it again.
 func (c *Client) Release(ctx context.Context, id string, attempt int) error {
 	_, err := call[Task](ctx, c, "release", "/v1/release", Task{ID: id, Attempt: attempt})
 	return err
--- a/workertest/fence.go
+++ b/workertest/fence.go
@@ -14,9 +14,14 @@
 	if known && (t.Attempt >= in.Attempt || t.State.Holds()) {
 		return s.shown(t), ""
 	}
-	t = s.add(worker.Task{ID: in.ID, Attempt: in.Attempt, Keep: true}, worker.Stopped)
+	return s.shown(s.forbid(in.ID, in.Attempt)), ""
+}
+
+// forbid keeps an attempt from starting. The caller holds mu.
+func (s *Server) forbid(id string, attempt int) *task {
+	t := s.add(worker.Task{ID: id, Attempt: attempt, Keep: true}, worker.Stopped)
 	close(t.done)
-	return s.shown(t), ""
+	return t
 }
 
 // replaced reports whether a call was meant for another process. The caller holds mu.
--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -40,6 +40,9 @@
 		return t, ""
 	}
 	if no := s.admit(in); no != "" {
+		if in.Keep {
+			s.forbid(in.ID, in.Attempt)
+		}
 		return nil, no
 	}
 	t = s.add(in, worker.Running)
@@ -167,7 +170,7 @@
 	out := make([]worker.Task, len(in.Renewals))
 	for i, r := range in.Renewals {
 		t, ok := s.tasks[r.ID]
-		if !ok || t.Attempt != r.Attempt {
+		if !ok || t.released || t.Attempt != r.Attempt {
 			out[i] = worker.Task{ID: r.ID, Attempt: r.Attempt, State: worker.Lapsed}
 			continue
 		}
@@ -179,15 +182,17 @@
 	return out, ""
 }
 
-// release forgets an ended task.
+// release forgets the result of an ended task. Its attempt stays fenced, so that a
+// delayed copy of a call can't run it again.
 func (s *Server) release(in worker.Task) (worker.Task, worker.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tasks[in.ID]
-	if !ok || t.Attempt != in.Attempt || t.State.Holds() {
+	if !ok || t.released || t.Attempt != in.Attempt || t.State.Holds() {
 		return worker.Task{}, worker.Absent
 	}
-	delete(s.tasks, in.ID)
+	t.released = true
+	t.State, t.Payload, t.Result = worker.Stopped, nil, nil
 	return t.Task, ""
 }
 
@@ -195,7 +200,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tasks[id]
-	if !ok {
+	if !ok || t.released {
 		return worker.Task{}, worker.Absent
 	}
 	return s.shown(t), ""
--- a/workertest/workertest.go
+++ b/workertest/workertest.go
@@ -95,6 +95,8 @@
 	entry int
 	done  chan struct{}
 	timer *time.Timer
+	// released means that only the fence of the attempt is left.
+	released bool
 }
 
 // New returns a worker with all its capacity free.
@@ -162,7 +164,9 @@
 	defer s.mu.Unlock()
 	r := worker.Report{Name: s.opts.Name, Incarnation: s.incarnation, Free: s.free, Leaving: s.leaving, Tasks: []worker.Task{}}
 	for _, t := range s.tasks {
-		r.Tasks = append(r.Tasks, s.shown(t))
+		if !t.released {
+			r.Tasks = append(r.Tasks, s.shown(t))
+		}
 	}
 	return r
 }
