--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,120 @@
+package claim_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/budget"
+	"github.com/chestnutsail/chestnutsail/claim"
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platformtest"
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+func TestClaim(t *testing.T) { suite.Run(t, "claim") }
+
+var _ = Describe("a book of claims", func() {
+	var (
+		store *platformtest.Server
+		clk   *clock.Clock
+		book  *claim.Book
+		ctx   = context.Background()
+	)
+	refund := claim.Claim{Account: "kulhar", Key: "refund-1", Hash: "h", Worker: "a-1", Attempt: 1}
+	BeforeEach(func() {
+		store = platformtest.New(platformtest.Options{})
+		server := httptest.NewServer(store)
+		DeferCleanup(server.Close)
+		clk = clock.NewManual(clock.Hour)
+		book = claim.New(claim.Options{
+			Store: platform.New(platform.Config{Address: server.URL}), Clock: clk,
+			Budget: budget.New(budget.Options{Floor: 100, Base: 1, Max: 5}),
+		})
+	})
+
+	DescribeTable("makes a claim its own",
+		func(f platformtest.Faults) {
+			store.SetFaults(f)
+			c, err := book.Take(ctx, refund)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Own).To(BeTrue())
+			other, err := book.Take(ctx, refund)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(other.Own).To(BeFalse())
+			Expect(other.Token).To(Equal(c.Token))
+		},
+		Entry("in calm", platformtest.Faults{}),
+		Entry("when the answer of the write is lost", platformtest.Faults{LoseAnswers: 1}),
+		Entry("when the answers of two writes are lost", platformtest.Faults{LoseAnswers: 2}),
+		Entry("when the write is delayed and a second one overtakes it", platformtest.Faults{LateWrites: 1, LateBy: 100}),
+	)
+
+	It("says that a claim was certainly not made when the store is down", func() {
+		store.SetFaults(platformtest.Faults{Down: true})
+		_, err := book.Take(ctx, refund)
+		Expect(platform.KindOf(err)).To(Equal(platform.Refused))
+	})
+
+	It("calls the store no more while it is down, but for probes", func() {
+		store.SetFaults(platformtest.Faults{Down: true})
+		for range 100 {
+			_, err := book.Take(ctx, refund)
+			Expect(platform.KindOf(err)).To(Equal(platform.Refused))
+		}
+		calls := 0
+		for _, c := range store.Calls() {
+			calls += c.Writes + c.Reads
+		}
+		Expect(calls).To(BeNumerically("<=", 7), "5 failures open the breaker, then one probe a second")
+	})
+
+	It("keeps a late change of an older state from landing on a tombstone", func() {
+		c, err := book.Take(ctx, refund)
+		Expect(err).NotTo(HaveOccurred())
+		buried, err := book.End(ctx, c, outcome.Refuse(c.Key, outcome.Abandoned, 0, ""))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = book.Move(ctx, c, claim.Place{Worker: "a-2"})
+		Expect(platform.KindOf(err)).To(Equal(platform.Conflict))
+		again, err := book.Retake(ctx, buried, claim.Place{Worker: "a-2"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(And(HaveField("Attempt", 2), HaveField("Outcome", BeNil())))
+	})
+
+	It("never changes how a request ended", func() {
+		c, err := book.Take(ctx, refund)
+		Expect(err).NotTo(HaveOccurred())
+		done, err := book.End(ctx, c, outcome.Outcome{Kind: outcome.Done})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(func() { _, _ = book.End(ctx, done, outcome.Refuse("", outcome.Abandoned, 0, "")) }).To(Panic())
+		Expect(func() { _, _ = book.Retake(ctx, done, claim.Place{}) }).To(Panic())
+		Expect(func() { _, _ = book.Move(ctx, done, claim.Place{}) }).To(Panic())
+	})
+
+	DescribeTable("expires claims",
+		func(o *outcome.Outcome, age clock.Millis, kept int) {
+			c, err := book.Take(ctx, refund)
+			Expect(err).NotTo(HaveOccurred())
+			if o != nil {
+				_, err = book.End(ctx, c, *o)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			clk.Advance(age)
+			for bucket := range claim.Buckets {
+				_, _, err = book.Expire(ctx, bucket)
+				Expect(err).NotTo(HaveOccurred())
+			}
+			Expect(store.Keys("claim/")).To(HaveLen(kept))
+		},
+		Entry("kept: done, within the retention", &outcome.Outcome{Kind: outcome.Done}, claim.Retention, 1),
+		Entry("deleted: done, past the retention", &outcome.Outcome{Kind: outcome.Done}, claim.Retention+1, 0),
+		Entry("kept: still in progress, past the retention", nil, claim.Retention+1, 1),
+		Entry("kept: unknown, past the retention", &outcome.Outcome{Kind: outcome.Unknown}, claim.Retention+1, 1),
+		Entry("deleted: unknown for longer than a week", &outcome.Outcome{Kind: outcome.Unknown}, 8*24*clock.Hour, 0),
+	)
+})
--- a/quick/once_test.go
+++ b/quick/once_test.go
@@ -69,6 +69,27 @@
 		Expect(w.runs()).To(Equal(map[string]int{"quick/perth/k": 1}))
 	})
 
+	It("is not called notrun from a stale claim while a later attempt runs", func() {
+		dead(wipe("k", 0), process(0))
+		first, err := platform.New(platform.Config{Address: w.server.URL}).Get(ctx, claim.Key("perth", "k"))
+		Expect(err).NotTo(HaveOccurred())
+		c, err := book().Find(ctx, "perth", "k")
+		Expect(err).NotTo(HaveOccurred())
+		address := w.workers[1].server.Listener.Addr().String()
+		_, err = book().Move(ctx, c, claim.Place{Worker: "a-2", Address: address, Incarnation: process(1)})
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			_, _ = agent(1).Run(ctx, worker.Task{
+				ID: "quick/perth/k", Attempt: 2, Keep: true, Needs: job.Resources{Slots: 1},
+				Payload: []byte(`{"sleep_ms":3000}`),
+			})
+		}()
+		Eventually(func() map[string]int { return w.runs() }).Should(HaveLen(1))
+		w.remember(first)
+		Expect(entry(faults{stale: 100}).router.Ask(ctx, "perth", "k").Kind).To(Equal(outcome.Unknown))
+		Expect(entry(faults{}).router.Ask(ctx, "perth", "k").Reason).To(Equal(outcome.InProgress))
+	})
+
 	It("is unknown, and never sent again, when the worker's process was replaced", func() {
 		s := wipe("k", 0)
 		dead(s, process(0))
