--- a/caller/caller.go
+++ b/caller/caller.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 
 	"github.com/justinas/alice"
@@ -28,6 +29,8 @@
 
 const maxBody = 256 << 10 // bytes
 
+var errTrailing = errors.New("there is more after the request")
+
 // Submitter runs or accepts requests of one kind.
 type Submitter interface {
 	Submit(ctx context.Context, s job.Spec) outcome.Outcome
@@ -72,6 +75,8 @@
 	Deadline int64      `json:"deadline_ms"`
 	Shape    *job.Shape `json:"shape"`
 	Payload  []byte     `json:"payload"`
+	// Again is as in job.Spec.
+	Again bool `json:"again"`
 }
 
 type accountKey struct{}
@@ -102,16 +107,14 @@
 }
 
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
-	var in request
-	body := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-	body.DisallowUnknownFields()
-	if err := body.Decode(&in); err != nil {
+	in, err := decode(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
 		reason := outcome.BadRequest
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			reason = outcome.TooLarge
 		}
-		h.answer(w, outcome.Refuse(in.Key, reason, 0, err.Error()))
+		h.answer(w, outcome.Refuse("", reason, 0, err.Error()))
 		return
 	}
 	account, _ := r.Context().Value(accountKey{}).(string)
@@ -123,6 +126,22 @@
 	h.answer(w, h.route(r.Context(), s))
 }
 
+// decode reads one JSON object with known fields only and nothing after it.
+func decode(body io.Reader) (in request, err error) {
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&in); err != nil {
+		return in, err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		if err == nil {
+			err = errTrailing
+		}
+		return in, err
+	}
+	return in, nil
+}
+
 // spec completes a request from the text in force and checks it.
 func (h *Handler) spec(account string, in request) (job.Spec, *outcome.Outcome) {
 	refuse := func(reason outcome.Reason, detail string) (job.Spec, *outcome.Outcome) {
@@ -139,6 +158,7 @@
 	}
 	s := service.Spec(in.Key, in.Payload)
 	s.Declared, s.Deadline = millis(in.Declared), millis(in.Deadline)
+	s.Again = in.Again
 	if in.Class != "" {
 		s.Class = in.Class
 	}
@@ -156,6 +176,9 @@
 		h.opts.Counters.Refused(o.Reason)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if o.Retry > 0 {
+		w.Header().Set("Retry-After", retryAfter(o.Retry))
+	}
 	w.WriteHeader(Status(o))
 	if err := json.NewEncoder(w).Encode(o); err != nil {
 		h.opts.Log.WithError(err).Debug("caller: answer not delivered")
--- a/caller/status.go
+++ b/caller/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/outcome"
@@ -39,4 +40,9 @@
 	return http.StatusServiceUnavailable
 }
 
+// retryAfter returns a wait in the whole seconds of the Retry-After header, rounded up.
+func retryAfter(wait clock.Millis) string {
+	return strconv.FormatInt(int64((wait+clock.Second-1)/clock.Second), 10)
+}
+
 func millis(v int64) clock.Millis { return clock.Millis(v) }
