--- a/caller/caller.go
+++ b/caller/caller.go
@@ -120,6 +120,11 @@
 	account, _ := r.Context().Value(accountKey{}).(string)
 	s, refused := h.spec(account, in)
 	if refused != nil {
+		if in.Again && job.IsName(in.Key) {
+			if o := h.known(r.Context(), account, in.Key); o.Reason != outcome.UnknownKey {
+				refused = &o
+			}
+		}
 		h.answer(w, *refused)
 		return
 	}
--- /dev/null
+++ b/caller/fuzz_test.go
@@ -0,0 +1,43 @@
+package caller_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/chestnutsail/chestnutsail/outcome"
+)
+
+// FuzzRequest submits any body: the answer is an outcome, and what is let through
+// is well-formed and of the caller's own account.
+func FuzzRequest(f *testing.F) {
+	for _, seed := range []string{
+		`{"service":"refund","key":"r-1"}`,
+		`{"service":"reconcile","key":"n","shape":{"tasks":2,"accels":8,"adjacent":"rack"}}`,
+		`{"service":"refund","key":"r","payload":"eyJlY2hvIjoicGFpZCJ9","deadline_ms":1,"again":true}`,
+		`{"service":"refund","key":"../wipe"}`,
+		`{"service":"refund","key":"r","shape":{"tasks":-9223372036854775808}}`,
+		`{"service":"refund","key":"r","declared_ms":1e400}`,
+		`{"service":null,"key":{}}`, `null`, `[]`, `"`, `{"key":"\u0000"}`, "\xff\xfe", `{}{}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		h, quick, jobs := newHandler()
+		w, _ := do(h, "kulhar", http.MethodPost, "/v1/requests", body)
+		var o outcome.Outcome
+		if err := json.Unmarshal(w.Body.Bytes(), &o); err != nil {
+			t.Fatalf("the answer is no outcome: %v", err)
+		}
+		if w.Code >= http.StatusInternalServerError {
+			t.Fatalf("status %d for %q", w.Code, body)
+		}
+		for _, p := range []*part{quick, jobs} {
+			for _, s := range p.specs {
+				if err := s.Check(); err != nil || s.Account != "kulhar" {
+					t.Fatalf("let through %+v: %v", s, err)
+				}
+			}
+		}
+	})
+}
