--- a/workertest/workertest.go
+++ b/workertest/workertest.go
@@ -99,6 +99,8 @@
 	change uint64
 	done   chan struct{}
 	timer  *time.Timer
+	// released means that only the fence of the attempt is left.
+	released bool
 }
 
 // New returns a worker with all its capacity free.
@@ -166,7 +168,9 @@
 	defer s.mu.Unlock()
 	r := worker.Report{Name: s.opts.Name, Incarnation: s.incarnation, Free: s.free, Leaving: s.leaving, Tasks: []worker.Task{}}
 	for _, t := range s.tasks {
-		r.Tasks = append(r.Tasks, s.shown(t))
+		if !t.released {
+			r.Tasks = append(r.Tasks, s.shown(t))
+		}
 	}
 	return r
 }
