dispatch: kill the scheduler at each of its calls

Cause: the takeover was not proved. Found: stopping a ledger twice closed a channel twice; it is done once now.

--- /dev/null
+++ b/dispatch/harness_test.go
@@ -0,0 +1,329 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/config"
+	"github.com/chestnutsail/chestnutsail/dispatch"
+	"github.com/chestnutsail/chestnutsail/gang"
+	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/ledger"
+	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platformtest"
+	"github.com/chestnutsail/chestnutsail/renewer"
+	"github.com/chestnutsail/chestnutsail/scheduler"
+	"github.com/chestnutsail/chestnutsail/term"
+	"github.com/chestnutsail/chestnutsail/text"
+	"github.com/chestnutsail/chestnutsail/worker"
+	"github.com/chestnutsail/chestnutsail/workertest"
+)
+
+// times are the product's times at a quarter, so that a takeover takes under a second.
+var times = gang.Times{Hold: 1000, Short: 500, Lease: 2500, Call: 250}
+
+const (
+	termPeriod = 150 * clock.Millisecond
+	termLapse  = 600 * clock.Millisecond
+)
+
+var errDead = errors.New("the entry is dead")
+
+// domain is one failure domain: a store, workers, and entries that share a process.
+type domain struct {
+	store    *platformtest.Server
+	storeURL string
+	workers  []*workertest.Server
+	servers  []*httptest.Server
+	capacity job.Resources
+
+	mu      sync.Mutex
+	entries map[string]*entry
+}
+
+// entry is the jobs' part of one entry.
+type entry struct {
+	domain *domain
+	name   string
+	wire   *wire
+	ledger *ledger.Ledger
+	seat   *term.Seat
+	disp   *dispatch.Dispatcher
+	renew  *renewer.Renewer
+	agents []dispatch.Worker
+
+	mu       sync.Mutex
+	handlers map[string]func(context.Context, string, []byte) ([]byte, error)
+}
+
+// wire is the network of one entry. It can be cut at a call, before or after the
+// call takes effect.
+type wire struct {
+	http  http.RoundTripper
+	calls atomic.Int64
+	// cutAt is the number of the call at which the entry dies; 0 means never.
+	cutAt atomic.Int64
+	after bool
+	dead  atomic.Bool
+	// away are hosts that can't be reached.
+	away sync.Map
+}
+
+func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	n := w.calls.Add(1)
+	if _, cut := w.away.Load(r.URL.Host); cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	last := n == w.cutAt.Load()
+	if last && !w.after {
+		w.dead.Store(true)
+	}
+	if w.dead.Load() {
+		return nil, errDead
+	}
+	resp, err := w.http.RoundTrip(r)
+	if last {
+		w.dead.Store(true)
+	}
+	if w.dead.Load() && err == nil {
+		_ = resp.Body.Close()
+		return nil, errDead
+	}
+	return resp, err
+}
+
+// newDomain returns a domain of n workers with 8 accelerators each and no entries.
+func newDomain(n int) *domain {
+	d := &domain{entries: make(map[string]*entry), capacity: job.Resources{Accelerators: 8, Slots: 8}}
+	d.store = platformtest.New(platformtest.Options{})
+	server := httptest.NewServer(d.store)
+	DeferCleanup(server.Close)
+	d.storeURL = server.URL
+	for i := range n {
+		w := workertest.New(workertest.Options{Name: workerName(i), Capacity: d.capacity})
+		server := httptest.NewServer(w)
+		DeferCleanup(func() {
+			w.SetFaults(workertest.Faults{})
+			server.CloseClientConnections()
+			server.Close()
+		})
+		d.workers = append(d.workers, w)
+		d.servers = append(d.servers, server)
+	}
+	return d
+}
+
+func workerName(i int) string { return fmt.Sprintf("a-%02d", i+1) }
+
+// join adds an entry. set changes its options.
+func (d *domain) join(name string, set ...func(*dispatch.Options)) *entry {
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	e := &entry{
+		domain: d, name: name, wire: &wire{http: &http.Transport{MaxIdleConnsPerHost: 32}},
+		handlers: make(map[string]func(context.Context, string, []byte) ([]byte, error)),
+	}
+	for i, s := range d.servers {
+		node := scheduler.Node{Name: workerName(i), Domain: "a", Rack: "r1", Capacity: d.capacity}
+		agent := worker.New(worker.Config{Address: s.Listener.Addr().String(), Transport: e.wire})
+		e.agents = append(e.agents, dispatch.Worker{Node: node, Agent: agent})
+	}
+	logger := log.WithField("entry", name)
+	store := platform.New(platform.Config{Address: d.storeURL, Transport: e.wire, Timeout: clock.Second})
+	e.ledger = ledger.New(ledger.Options{Store: store, Domain: "a", Log: logger, Hint: func(domain string, r ledger.Entry) { e.disp.Hint(domain, r) }})
+	e.seat = term.New(term.Options{Store: store, Domain: "a", Name: name, Period: termPeriod, Lapse: termLapse, Log: logger})
+	opts := dispatch.Options{
+		Name: name, Domain: "a", Ledger: e.ledger, Seat: e.seat, Texts: e, Mesh: e, Log: logger,
+		Workers: func() []dispatch.Worker { return e.agents }, Times: times, Listing: clock.Second, Orphan: 2 * clock.Second,
+	}
+	for _, f := range set {
+		f(&opts)
+	}
+	e.disp = dispatch.New(opts)
+	e.renew = renewer.New(renewer.Options{
+		Name: name, Line: e.disp, Term: func() int64 { return e.seat.Now().Term }, Log: logger,
+		Period: clock.Second, Lease: times.Lease, Grace: clock.Second,
+		Entries: func() []string {
+			var names []string
+			for _, p := range e.disp.Peers() {
+				names = append(names, p.Name)
+			}
+			return names
+		},
+		Workers: func() []renewer.Target {
+			var targets []renewer.Target
+			for _, w := range e.agents {
+				targets = append(targets, renewer.Target{Name: w.Node.Name, Agent: w.Agent})
+			}
+			return targets
+		},
+	})
+	e.disp.OnNotice(e.renew.Heed)
+	d.mu.Lock()
+	d.entries[name] = e
+	d.mu.Unlock()
+	DeferCleanup(e.kill)
+	return e
+}
+
+// kill cuts the entry off and ends it without a word to the others.
+func (e *entry) kill() {
+	e.wire.dead.Store(true)
+	ctx := context.Background()
+	_ = e.renew.Stop(ctx)
+	_ = e.disp.Stop(ctx)
+	_ = e.seat.Stop(ctx)
+	_ = e.ledger.Stop(ctx)
+}
+
+// Now returns a text that says nothing.
+func (e *entry) Now() config.Snapshot {
+	return config.Snapshot{Revision: 1, Text: &text.Text{
+		Fleet:    []text.Pool{{Domain: "a", Racks: 1, Workers: len(e.agents), Accels: 8, Slots: 8}},
+		Accounts: []text.Account{{Name: "kulhar"}},
+	}}
+}
+
+// Peers returns the other entries that are not dead.
+func (e *entry) Peers() []dispatch.Peer {
+	e.domain.mu.Lock()
+	defer e.domain.mu.Unlock()
+	var peers []dispatch.Peer
+	for name, o := range e.domain.entries {
+		if name != e.name && !o.wire.dead.Load() {
+			st := o.seat.Now()
+			peers = append(peers, dispatch.Peer{Name: name, Domain: "a", Leads: st.Leads, Term: st.Term})
+		}
+	}
+	sort.Slice(peers, func(i, j int) bool { return peers[i].Name < peers[j].Name })
+	return peers
+}
+
+// Call calls another entry of the process.
+func (e *entry) Call(ctx context.Context, name, method string, in []byte) ([]byte, error) {
+	e.domain.mu.Lock()
+	o := e.domain.entries[name]
+	e.domain.mu.Unlock()
+	if o == nil || o.wire.dead.Load() || e.wire.dead.Load() {
+		return nil, errDead
+	}
+	o.mu.Lock()
+	f := o.handlers[method]
+	o.mu.Unlock()
+	return f(ctx, e.name, in)
+}
+
+// Handle answers the calls of other entries.
+func (e *entry) Handle(method string, f func(context.Context, string, []byte) ([]byte, error)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.handlers[method] = f
+}
+
+// leads waits until the entry leads the domain.
+func (e *entry) leads() {
+	GinkgoHelper()
+	Eventually(func() bool { return e.seat.Now().Leads }).WithTimeout(10 * time.Second).WithPolling(10 * time.Millisecond).Should(BeTrue())
+}
+
+// ends waits until a job has ended and returns its outcome.
+func (e *entry) ends(key string) outcome.Outcome {
+	GinkgoHelper()
+	var o outcome.Outcome
+	Eventually(func() bool {
+		o = e.ledger.Ask(context.Background(), "kulhar", key)
+		return o.Kind != outcome.Accepted && o.Reason != outcome.StoreUnreachable
+	}).WithTimeout(20*time.Second).WithPolling(20*time.Millisecond).Should(BeTrue(), "job %s did not end", key)
+	return o
+}
+
+func gangSpec(key string, tasks int, script string) job.Spec {
+	return job.Spec{
+		Account: "kulhar", Service: "reconcile", Key: key, Class: job.Batch,
+		Shape: job.Shape{Tasks: tasks, Accelerators: 8}, Payload: []byte(script),
+	}
+}
+
+// run is what the workers' journals tell of one attempt of a job.
+type run struct {
+	id      string
+	attempt int
+	parts   []workertest.Execution
+}
+
+// runs returns every attempt that had an effect, in order.
+func (d *domain) runs(id string) []run {
+	byAttempt := make(map[int]*run)
+	for _, w := range d.workers {
+		for _, x := range w.Journal() {
+			if x.ID != id {
+				continue
+			}
+			if byAttempt[x.Attempt] == nil {
+				byAttempt[x.Attempt] = &run{id: id, attempt: x.Attempt}
+			}
+			byAttempt[x.Attempt].parts = append(byAttempt[x.Attempt].parts, x)
+		}
+	}
+	var out []run
+	for _, r := range byAttempt {
+		out = append(out, *r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].attempt < out[j].attempt })
+	return out
+}
+
+// finished reports whether all parts of the attempt ran to their own end.
+func (r run) finished(size int) bool {
+	for _, x := range r.parts {
+		if x.State != worker.Finished {
+			return false
+		}
+	}
+	return len(r.parts) == size
+}
+
+// partial returns for how long some part ran while another neither ran nor had finished.
+func (r run) partial(size int, now clock.Millis) clock.Millis {
+	var points []clock.Millis
+	end := func(x workertest.Execution) clock.Millis {
+		if x.End == 0 {
+			return now
+		}
+		return x.End
+	}
+	for _, x := range r.parts {
+		points = append(points, x.Start, end(x))
+	}
+	sort.Slice(points, func(i, j int) bool { return points[i] < points[j] })
+	var total clock.Millis
+	for i := 1; i < len(points); i++ {
+		running, whole := 0, 0
+		for _, x := range r.parts {
+			if x.Start <= points[i-1] && end(x) >= points[i] {
+				running++
+			}
+			if x.Start <= points[i-1] && (end(x) >= points[i] || x.State == worker.Finished) {
+				whole++
+			}
+		}
+		if running > 0 && whole < size {
+			total += points[i] - points[i-1]
+		}
+	}
+	return total
+}
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -44,6 +44,7 @@
 	waiting chan *write
 	quit    chan struct{}
 	workers sync.WaitGroup
+	once    sync.Once
 }
 
 func newCommitter(opts Options) *committer {
@@ -71,7 +72,7 @@
 }
 
 func (c *committer) stop() {
-	close(c.quit)
+	c.once.Do(func() { close(c.quit) })
 	c.workers.Wait()
 }
 
--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -285,7 +285,7 @@
 	s.touch(t)
 	s.free = s.free.Add(t.Needs)
 	if t.entry >= 0 {
-		s.journal[t.entry].End = s.opts.Clock.Now()
+		s.journal[t.entry].End, s.journal[t.entry].State = s.opts.Clock.Now(), state
 	}
 	if t.timer != nil {
 		t.timer.Stop()
--- a/workertest/workertest.go
+++ b/workertest/workertest.go
@@ -64,8 +64,9 @@
 	Attempt int          `json:"attempt"`
 	Tasks   int          `json:"tasks"`
 	Start   clock.Millis `json:"start"`
-	// End is 0 while the task runs.
-	End clock.Millis `json:"end"`
+	// End is 0 while the task runs, State tells how it ended.
+	End   clock.Millis `json:"end"`
+	State worker.State `json:"state,omitempty"`
 }
 
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
