--- a/caller/jobs.go
+++ b/caller/jobs.go
@@ -8,37 +8,37 @@
 	"github.com/chestnutsail/chestnutsail/outcome"
 )
 
-// Jobs accepts the requests that go through the scheduler.
-type Jobs interface {
-	Submitter
-	Cancel(ctx context.Context, account, key string) outcome.Outcome
-}
+const noJobs = "this entry takes quick requests only"
 
-// submitter returns what serves a request.
-func (h *Handler) submitter(s job.Spec) Submitter {
-	if s.IsQuick() || h.opts.Jobs == nil {
-		return h.opts.Quick
+// route hands a request to the part that serves its kind.
+func (h *Handler) route(ctx context.Context, s job.Spec) outcome.Outcome {
+	if s.IsQuick() {
+		return h.opts.Quick.Submit(ctx, s)
+	}
+	if h.opts.Jobs == nil {
+		return outcome.Refuse(s.Key, outcome.NotReady, 0, noJobs)
 	}
-	return h.opts.Jobs
+	return h.opts.Jobs.Submit(ctx, s)
 }
 
-// find asks for a request among the jobs, then among the quick requests.
-func (h *Handler) find(ctx context.Context, account, key string) outcome.Outcome {
-	if h.opts.Jobs != nil {
-		o := h.opts.Jobs.Ask(ctx, account, key)
-		if o.Kind != outcome.NotRun || o.Reason != outcome.NotReady {
-			return o
-		}
+// ask answers from the quick requests, or from the jobs when no quick request is
+// known under the key.
+func (h *Handler) ask(w http.ResponseWriter, r *http.Request) {
+	account, _ := r.Context().Value(accountKey{}).(string)
+	key := r.PathValue("key")
+	o := h.opts.Quick.Ask(r.Context(), account, key)
+	if h.opts.Jobs != nil && o.Reason == outcome.UnknownKey {
+		o = h.opts.Jobs.Ask(r.Context(), account, key)
 	}
-	return h.opts.Quick.Ask(ctx, account, key)
+	h.answer(w, o)
 }
 
-// cancel asks for the end of a job.
 func (h *Handler) cancel(w http.ResponseWriter, r *http.Request) {
 	account, _ := r.Context().Value(accountKey{}).(string)
+	key := r.PathValue("key")
 	if h.opts.Jobs == nil {
-		h.answer(w, outcome.Refuse(r.PathValue("key"), outcome.NotReady, 0, "no jobs are taken here"))
+		h.answer(w, outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.UnknownKey, Key: key, Detail: noJobs})
 		return
 	}
-	h.answer(w, h.opts.Jobs.Cancel(r.Context(), account, r.PathValue("key")))
+	h.answer(w, h.opts.Jobs.Cancel(r.Context(), account, key))
 }
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -31,7 +31,7 @@
 			if ok {
 				g.note(func() {
 					g.tasks[i] = t
-					g.lifted = g.lifted || t.Lifted
+					g.lifted = g.lifted || t.Ran
 				})
 			}
 		})
@@ -140,7 +140,7 @@
 	r := g.result(scheduler.Finished, "", nil)
 	for i, t := range r.Tasks {
 		name := g.opts.Record.Members[i].Worker
-		g.note(func() { g.lifted = g.lifted || t.Lifted })
+		g.note(func() { g.lifted = g.lifted || t.Ran })
 		switch {
 		case t.State == worker.Failed:
 			return g.result(scheduler.Broken, name, nil)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -154,15 +154,15 @@
 	return answer(s.Account, s.Key, standing)
 }
 
-// Ask returns the outcome of a job by its key: Accepted while it is live, NotRun
-// with the reason NotReady when no such job is known.
+// Ask returns the outcome of a job by its key: Accepted while it is live, Unknown
+// with the reason UnknownKey when no such job is known.
 func (l *Ledger) Ask(ctx context.Context, account, key string) outcome.Outcome {
 	standing, _, err := l.stub(ctx, account, key)
 	switch platform.KindOf(err) {
 	case platform.OK:
 		return answer(account, key, standing)
 	case platform.Missing:
-		return outcome.Refuse(key, outcome.NotReady, 0, "no request is known under this key")
+		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.UnknownKey, Account: account, Key: key, Detail: "no request is known under this key"}
 	default:
 		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.StoreUnreachable, Account: account, Key: key, Retry: retryAfter}
 	}
@@ -176,7 +176,7 @@
 	for {
 		standing, _, err := l.stub(ctx, account, key)
 		if platform.KindOf(err) == platform.Missing {
-			return outcome.Refuse(key, outcome.NotReady, 0, "no request is known under this key")
+			return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.UnknownKey, Account: account, Key: key, Detail: "no request is known under this key"}
 		}
 		if err == nil && standing.Ended != nil {
 			return answer(account, key, standing)
