dispatch: load the core at once on takeover, keep its trace, show its status

Cause: recovered jobs reached the core one by one, so it could decide before it knew them all. Change: one Load event carries text, workers and records; the steps go through replay.Recorder; Status and Trace answer at any entry of the domain by asking the leader.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -39,6 +39,8 @@
 	inboxSize = 4096
 	maxCalls  = 128
 	maxHints  = 256
+	// traceSize is what a trace takes in bytes; it fits into one call between entries.
+	traceSize = 900 << 10
 )
 
 // ErrNotLeading means that this entry does not schedule the domain.
@@ -88,10 +90,8 @@
 	Texts   Texts
 	// Mesh reaches the other entries; nil means there are none.
 	Mesh Mesh
-	// Core makes the core of a new term; nil means scheduler.New with its defaults.
-	Core func() *scheduler.Core
-	// Record is told each step of the core; nil means nobody is.
-	Record func(now clock.Millis, e scheduler.Event, actions []scheduler.Action)
+	// Core configures the core of each term.
+	Core scheduler.Options
 	// Quarantine keeps quick requests away from a worker or lets them in again.
 	Quarantine func(worker string, away bool)
 	Times      gang.Times
@@ -129,12 +129,6 @@
 	if opts.Orphan == 0 {
 		opts.Orphan = DefaultOrphan
 	}
-	if opts.Core == nil {
-		opts.Core = func() *scheduler.Core { return scheduler.New(scheduler.Options{}) }
-	}
-	if opts.Record == nil {
-		opts.Record = func(clock.Millis, scheduler.Event, []scheduler.Action) {}
-	}
 	if opts.Quarantine == nil {
 		opts.Quarantine = func(string, bool) {}
 	}
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -17,6 +17,8 @@
 	methodHint   = "jobs.hint"
 	methodEvent  = "jobs.event"
 	methodNotice = "jobs.notice"
+	methodStatus = "jobs.status"
+	methodTrace  = "jobs.trace"
 )
 
 const callTime = 2 * clock.Second
@@ -55,6 +57,8 @@
 		d.notice(n)
 		return nil
 	})
+	d.opts.Mesh.Handle(methodStatus, func(context.Context, string, []byte) ([]byte, error) { return d.status() })
+	d.opts.Mesh.Handle(methodTrace, func(context.Context, string, []byte) ([]byte, error) { return d.trace() })
 }
 
 func handle[In any](d *Dispatcher, method string, f func(context.Context, In) error) {
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/chestnutsail/chestnutsail/job"
@@ -28,15 +30,10 @@
 			return false
 		}
 	}
-	s.look()
+	s.load(records)
 	for _, e := range records {
-		if e.Record.State != job.Waiting {
-			s.adopt(s.submit(e))
-		}
-	}
-	for _, e := range records {
-		if e.Record.State == job.Waiting {
-			s.submit(e)
+		if j := s.jobs[e.Record.Spec.ID()]; e.Record.State != job.Waiting {
+			s.adopt(j)
 		}
 	}
 	for _, e := range records {
@@ -47,10 +44,29 @@
 	for _, e := range found {
 		s.observe(e)
 	}
+	s.step(scheduler.Event{Kind: scheduler.Tick})
 	s.opts.Log.WithField("term", s.term).WithField("jobs", len(records)).Info("dispatch: domain recovered")
 	return true
 }
 
+// load brings the text, the workers and the records to the core at once, so that it
+// decides nothing before it knows them all.
+func (s *session) load(records []ledger.Entry) {
+	now := s.opts.Texts.Now()
+	s.revision = now.Revision
+	state := scheduler.State{Options: s.opts.Core, Text: now.Text}
+	for _, w := range s.opts.Workers() {
+		s.workers[w.Node.Name] = w
+		state.Nodes = append(state.Nodes, scheduler.NodeState{Node: w.Node, Leaving: w.Leaving})
+	}
+	slices.SortStableFunc(records, func(a, b ledger.Entry) int { return cmp.Compare(a.Record.Submitted, b.Record.Submitted) })
+	for _, e := range records {
+		s.add(e)
+		state.Jobs = append(state.Jobs, scheduler.JobState{Record: e.Record, Since: e.Record.Submitted})
+	}
+	s.step(scheduler.Event{Kind: scheduler.Load, State: &state})
+}
+
 // fence shows the term to every worker and returns what runs there. The records are
 // read after that, so every gang that an older scheduler has started is among them.
 func (s *session) fence() []renewer.Event {
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutsail/chestnutsail/job"
 	"github.com/chestnutsail/chestnutsail/ledger"
 	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/replay"
 	"github.com/chestnutsail/chestnutsail/scheduler"
 	"github.com/chestnutsail/chestnutsail/worker"
 )
@@ -21,7 +22,7 @@
 	opts  Options
 	term  int64
 	ctx   context.Context
-	core  *scheduler.Core
+	core  *replay.Recorder
 	inbox chan func()
 	calls sync.WaitGroup
 	slots chan struct{}
@@ -75,7 +76,7 @@
 
 func newSession(ctx context.Context, d *Dispatcher, number int64) *session {
 	return &session{
-		d: d, opts: d.opts, term: number, ctx: ctx, core: d.opts.Core(),
+		d: d, opts: d.opts, term: number, ctx: ctx, core: replay.New(scheduler.New(d.opts.Core), replay.Options{Bytes: traceSize}),
 		inbox: make(chan func(), inboxSize), slots: make(chan struct{}, maxCalls),
 		jobs: make(map[string]*live), workers: make(map[string]Worker),
 	}
@@ -142,9 +143,7 @@
 
 // step feeds the core one event and carries out what it decides.
 func (s *session) step(e scheduler.Event) []scheduler.Action {
-	now := s.opts.Clock.Now()
-	actions := s.core.Step(now, e)
-	s.opts.Record(now, e, actions)
+	actions := s.core.Step(s.opts.Clock.Now(), e)
 	for _, a := range actions {
 		s.carry(a)
 	}
@@ -207,13 +206,20 @@
 
 // submit brings a record to the core.
 func (s *session) submit(e ledger.Entry) *live {
+	r := e.Record
+	j := s.add(e)
+	s.step(scheduler.Event{Kind: scheduler.Submit, Record: &r})
+	return j
+}
+
+// add makes a job known here, but not yet to the core.
+func (s *session) add(e ledger.Entry) *live {
 	r := e.Record
 	j := &live{
 		id: r.Spec.ID(), spec: r.Spec, entry: e, ran: r.Started > 0,
 		attempt: r.Attempt, checkpoint: r.Checkpoint,
 	}
 	s.jobs[j.id] = j
-	s.step(scheduler.Event{Kind: scheduler.Submit, Record: &r})
 	return j
 }
 
