dispatch: bring reports of renewals to the scheduler of the highest term

A result that only a lost worker had was waited for for ever. Ruled out: the agent's change counter and the order of deliveries. Change: events carry the term they were renewed under and go to the highest term known; a result that can't be had within a lease is lost with its worker; workers that don't answer are taken away from the core and probed once a second.

--- a/dispatch/carry.go
+++ b/dispatch/carry.go
@@ -186,6 +186,9 @@
 	}
 	j.gang = nil
 	j.unwritten = !r.Committed
+	if !worker.Answered(r.Err) {
+		s.hush(r.Worker)
+	}
 	s.step(scheduler.Event{Kind: scheduler.Refused, ID: j.id, Attempt: j.attempt, Worker: r.Worker})
 	if errors.Is(r.Err, errCanceled) || errors.Is(r.Err, errGone) {
 		s.step(scheduler.Event{Kind: scheduler.Cancel, ID: j.id})
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -37,14 +37,14 @@
 	all.Wait()
 }
 
-// judge checks the promises for a gang of two by its outcome and the workers' journals.
-func judge(d *domain, spec job.Spec, o outcome.Outcome, detail string) {
+// judge checks the promises for a gang of two, that may run in part for at most bound, by its outcome and the workers' journals.
+func judge(d *domain, spec job.Spec, o outcome.Outcome, bound clock.Millis, detail string) {
 	GinkgoHelper()
 	runs := d.runs(spec.ID())
 	detail = fmt.Sprintf("%s: %+v %+v", detail, o, runs)
 	finished := 0
 	for _, r := range runs {
-		Expect(r.partial(2, clock.New().Now())).To(BeNumerically("<=", times.Short+slack), "partial gang: "+detail)
+		Expect(r.partial(2, clock.New().Now())).To(BeNumerically("<=", bound+slack), "partial gang: "+detail)
 		if r.finished(2) {
 			finished++
 		}
@@ -81,7 +81,7 @@
 				spec.Idempotent = idempotent
 				Expect(e2.ledger.Submit(context.Background(), spec).Kind).To(Equal(outcome.Accepted))
 				e1.wire.cutAt.Store(e1.wire.calls.Load() + 1 + int64(step))
-				judge(d, spec, e2.ends("night"), fmt.Sprint("step ", step))
+				judge(d, spec, e2.ends("night"), times.Short, fmt.Sprint("step ", step))
 				e1.kill()
 				e2.kill()
 			})
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -47,6 +47,8 @@
 	store    *platformtest.Server
 	storeURL string
 	workers  []*workertest.Server
+	// doors are in front of the workers.
+	doors    []*door
 	servers  []*httptest.Server
 	capacity job.Resources
 
@@ -63,6 +65,7 @@
 	seat   *term.Seat
 	disp   *dispatch.Dispatcher
 	renew  *renewer.Renewer
+	leader dispatch.Seat
 	agents []dispatch.Worker
 
 	mu       sync.Mutex
@@ -78,6 +81,10 @@
 	cutAt atomic.Int64
 	after bool
 	dead  atomic.Bool
+	// delayAt is the number of the call from which on calls are held back until
+	// resume is closed; they take effect late. 0 means never.
+	delayAt atomic.Int64
+	resume  chan struct{}
 	// away are hosts that can't be reached.
 	away sync.Map
 }
@@ -88,6 +95,9 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
+	if at := w.delayAt.Load(); at > 0 && n >= at {
+		<-w.resume
+	}
 	last := n == w.cutAt.Load()
 	if last && !w.after {
 		w.dead.Store(true)
@@ -115,7 +125,9 @@
 	d.storeURL = server.URL
 	for i := range n {
 		w := workertest.New(workertest.Options{Name: workerName(i), Capacity: d.capacity})
-		server := httptest.NewServer(w)
+		door := &door{worker: w}
+		d.doors = append(d.doors, door)
+		server := httptest.NewServer(door)
 		DeferCleanup(func() {
 			w.SetFaults(workertest.Faults{})
 			server.CloseClientConnections()
@@ -127,6 +139,27 @@
 	return d
 }
 
+// door is the network of one worker. It closes for good at a call.
+type door struct {
+	worker http.Handler
+	calls  atomic.Int64
+	shutAt atomic.Int64
+	shut   atomic.Bool
+}
+
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if n := d.calls.Add(1); n == d.shutAt.Load() {
+		d.shut.Store(true)
+	}
+	if d.shut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	d.worker.ServeHTTP(w, r)
+	if d.shut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func workerName(i int) string { return fmt.Sprintf("a-%02d", i+1) }
 
 // join adds an entry. set changes its options.
@@ -134,7 +167,7 @@
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
 	e := &entry{
-		domain: d, name: name, wire: &wire{http: &http.Transport{MaxIdleConnsPerHost: 32}},
+		domain: d, name: name, wire: &wire{http: &http.Transport{MaxIdleConnsPerHost: 32}, resume: make(chan struct{})},
 		handlers: make(map[string]func(context.Context, string, []byte) ([]byte, error)),
 	}
 	for i, s := range d.servers {
@@ -153,9 +186,10 @@
 	for _, f := range set {
 		f(&opts)
 	}
+	e.leader = opts.Seat
 	e.disp = dispatch.New(opts)
 	e.renew = renewer.New(renewer.Options{
-		Name: name, Line: e.disp, Term: func() int64 { return e.seat.Now().Term }, Log: logger,
+		Name: name, Line: e.disp, Term: e.highest, Log: logger,
 		Period: clock.Second, Lease: times.Lease, Grace: clock.Second,
 		Entries: func() []string {
 			var names []string
@@ -198,6 +232,15 @@
 	}}
 }
 
+// highest returns the highest term that the entry or a live peer knows.
+func (e *entry) highest() int64 {
+	t := e.leader.Now().Term
+	for _, p := range e.Peers() {
+		t = max(t, p.Term)
+	}
+	return t
+}
+
 // Peers returns the other entries that are not dead.
 func (e *entry) Peers() []dispatch.Peer {
 	e.domain.mu.Lock()
@@ -205,7 +248,7 @@
 	var peers []dispatch.Peer
 	for name, o := range e.domain.entries {
 		if name != e.name && !o.wire.dead.Load() {
-			st := o.seat.Now()
+			st := o.leader.Now()
 			peers = append(peers, dispatch.Peer{Name: name, Domain: "a", Leads: st.Leads, Term: st.Term})
 		}
 	}
@@ -247,7 +290,10 @@
 	Eventually(func() bool {
 		o = e.ledger.Ask(context.Background(), "kulhar", key)
 		return o.Kind != outcome.Accepted && o.Reason != outcome.StoreUnreachable
-	}).WithTimeout(20*time.Second).WithPolling(20*time.Millisecond).Should(BeTrue(), "job %s did not end", key)
+	}).WithTimeout(10*time.Second).WithPolling(20*time.Millisecond).Should(BeTrue(), func() string {
+		raw, _ := e.domain.store.Value("live/a/kulhar/" + key)
+		return fmt.Sprintf("job %s did not end: %s %+v", key, raw, e.domain.runs("kulhar/"+key))
+	})
 	return o
 }
 
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -121,16 +121,18 @@
 	return false
 }
 
-// leader returns the name of the entry that schedules a domain, or "".
+// leader returns the name of the entry that schedules a domain under the highest term
+// known, or "".
 func (d *Dispatcher) leader(domain string) string {
+	var name string
+	var highest int64
 	if domain == d.opts.Domain {
-		return d.opts.Seat.Now().Holder
+		now := d.opts.Seat.Now()
+		name, highest = now.Holder, now.Term
 	}
 	if d.opts.Mesh == nil {
-		return ""
+		return name
 	}
-	var name string
-	var highest int64
 	for _, p := range d.opts.Mesh.Peers() {
 		if p.Domain == domain && p.Leads && p.Term > highest {
 			name, highest = p.Name, p.Term
@@ -223,9 +225,11 @@
 	return s.post(ctx, func() { s.learn(e) })
 }
 
+// event takes in what a renewal has shown. One that was made under a newer term than
+// the session's belongs to another scheduler.
 func (d *Dispatcher) event(ctx context.Context, e renewer.Event) error {
 	s := d.leading()
-	if s == nil {
+	if s == nil || s.term < e.Term {
 		return ErrNotLeading
 	}
 	return s.post(ctx, func() { s.observe(e) })
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/gang"
 	"github.com/chestnutsail/chestnutsail/job"
 	"github.com/chestnutsail/chestnutsail/ledger"
 	"github.com/chestnutsail/chestnutsail/platform"
@@ -114,6 +116,7 @@
 				s.broken(j, e.Worker)
 			}
 		}
+		s.hush(e.Worker)
 		return
 	}
 	for _, t := range e.Tasks {
@@ -144,18 +147,32 @@
 	}
 	g := j.gang
 	s.then(j, func() {
-		for try := 0; s.ctx.Err() == nil; try++ {
-			r := g.Check(s.ctx)
-			if r.Err == nil {
-				j.ran = true
-				s.report(func() { s.ended(j, g, r) })
-				return
-			}
-			s.again(try, r.Err)
-		}
+		j.ran = true
+		r := s.collect(g)
+		s.report(func() { s.ended(j, g, r) })
 	})
 }
 
+// collect reads the results of a gang that has finished. A result that can't be
+// had within a lease is lost with its worker.
+func (s *session) collect(g *gang.Gang) gang.Result {
+	deadline := s.opts.Clock.Now() + s.opts.Times.Lease
+	for {
+		r := g.Check(s.ctx)
+		if r.Err == nil && r.Kind != scheduler.Started {
+			return r
+		}
+		if s.opts.Clock.Now() >= deadline {
+			r.Kind = scheduler.Lost
+			return r
+		}
+		clock.Sleep(s.ctx, firstPause)
+		if s.ctx.Err() != nil {
+			return r
+		}
+	}
+}
+
 // broken stops the rest of a gang that has lost a part.
 func (s *session) broken(j *live, name string) {
 	j.stopping = true
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -30,6 +30,9 @@
 	jobs     map[string]*live
 	workers  map[string]Worker
 	revision uint64
+	// silent are listed workers that did not answer; the core doesn't know them. They
+	// are true while they are being asked again.
+	silent map[string]bool
 }
 
 // live is one live job.
@@ -78,7 +81,7 @@
 	return &session{
 		d: d, opts: d.opts, term: number, ctx: ctx, core: replay.New(scheduler.New(d.opts.Core), replay.Options{Bytes: traceSize}),
 		inbox: make(chan func(), inboxSize), slots: make(chan struct{}, maxCalls),
-		jobs: make(map[string]*live), workers: make(map[string]Worker),
+		jobs: make(map[string]*live), workers: make(map[string]Worker), silent: make(map[string]bool),
 	}
 }
 
@@ -159,16 +162,56 @@
 	listed := make(map[string]bool)
 	for _, w := range s.opts.Workers() {
 		listed[w.Node.Name] = true
-		s.see(w)
+		if asking, silent := s.silent[w.Node.Name]; !silent {
+			s.see(w)
+		} else if !asking {
+			s.probe(w)
+		}
+	}
+	for _, name := range sorted(s.silent) {
+		if !listed[name] {
+			delete(s.silent, name)
+		}
 	}
 	for _, name := range sorted(s.workers) {
 		if !listed[name] {
-			delete(s.workers, name)
-			s.step(scheduler.Event{Kind: scheduler.WorkerGone, Worker: name})
+			s.gone(name)
 		}
 	}
 }
 
+func (s *session) gone(name string) {
+	delete(s.workers, name)
+	s.step(scheduler.Event{Kind: scheduler.WorkerGone, Worker: name})
+}
+
+// hush takes a worker that did not answer away from the core until it answers again.
+func (s *session) hush(name string) {
+	if _, silent := s.silent[name]; silent || name == "" {
+		return
+	}
+	s.opts.Log.WithField("worker", name).Warn("dispatch: worker does not answer")
+	s.silent[name] = false
+	s.gone(name)
+}
+
+// probe asks a silent worker whether it answers again.
+func (s *session) probe(w Worker) {
+	name := w.Node.Name
+	s.silent[name] = true
+	s.beside(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, s.opts.Times.Call.Duration())
+		defer cancel()
+		_, err := w.Agent.Renew(ctx, worker.Renewal{Term: s.term, Lease: s.opts.Times.Lease})
+		s.report(func() {
+			s.silent[name] = false
+			if err == nil {
+				delete(s.silent, name)
+			}
+		})
+	})
+}
+
 func (s *session) see(w Worker) {
 	name := w.Node.Name
 	old, known := s.workers[name]
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -49,6 +49,8 @@
 // Event tells what a renewal has shown of one worker.
 type Event struct {
 	Worker string `json:"worker"`
+	// Term is the term that the worker was renewed under.
+	Term int64 `json:"term"`
 	// Lost tells that the worker could not be asked until its leases had ended.
 	Lost bool `json:"lost,omitempty"`
 	// Tasks are the gang tasks that changed, without their results.
--- a/renewer/share.go
+++ b/renewer/share.go
@@ -58,12 +58,12 @@
 		case err == nil:
 			heard = sent
 			s.lost.Store(false)
-			s.learn(report)
+			s.learn(term, report)
 		case worker.RefusalOf(err) != "":
 			heard = sent
 			clock.Sleep(s.ctx, min(pause, s.r.opts.Period))
 		default:
-			s.silent(heard)
+			s.silent(term, heard)
 			clock.Sleep(s.ctx, min(pause, s.r.opts.Period))
 		}
 	}
@@ -89,7 +89,7 @@
 }
 
 // learn takes in a report. A change counts as seen once the scheduler has it.
-func (s *share) learn(report worker.Report) {
+func (s *share) learn(term int64, report worker.Report) {
 	s.mu.Lock()
 	if report.Change < s.since {
 		s.since = 0
@@ -100,7 +100,7 @@
 	s.mu.Unlock()
 	if len(report.Tasks) > 0 {
 		s.spread(report.Tasks)
-		if err := s.r.opts.Line.Deliver(s.ctx, Event{Worker: s.target.Name, Tasks: report.Tasks}); err != nil {
+		if err := s.r.opts.Line.Deliver(s.ctx, Event{Worker: s.target.Name, Term: term, Tasks: report.Tasks}); err != nil {
 			clock.Sleep(s.ctx, min(pause, s.r.opts.Period))
 			return
 		}
@@ -135,13 +135,13 @@
 }
 
 // silent gives a worker up once the leases that it may hold must have ended.
-func (s *share) silent(heard clock.Millis) {
+func (s *share) silent(term int64, heard clock.Millis) {
 	if s.ctx.Err() != nil || s.lost.Load() || s.r.opts.Clock.Now() < heard+s.r.opts.Lease {
 		return
 	}
 	s.r.opts.Log.WithField("worker", s.target.Name).Warn("renewer: worker lost")
 	s.r.opts.Line.Spread(s.ctx, Notice{Worker: s.target.Name})
-	if err := s.r.opts.Line.Deliver(s.ctx, Event{Worker: s.target.Name, Lost: true}); err == nil {
+	if err := s.r.opts.Line.Deliver(s.ctx, Event{Worker: s.target.Name, Term: term, Lost: true}); err == nil {
 		s.lost.Store(true)
 	}
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -168,6 +168,9 @@
 	return ""
 }
 
+// Answered reports whether err shows an answer of the agent, or is nil.
+func Answered(err error) bool { return err == nil || RefusalOf(err) != "" }
+
 // NotSent reports whether err shows that the call had no effect: it never
 // reached the agent, or the agent refused it.
 func NotSent(err error) bool {
