--- a/advice/advice.go
+++ b/advice/advice.go
@@ -49,6 +49,7 @@
 	outcome.RetryStoreDown:     "the store refused a call; look at the store",
 	outcome.RetryStoreUnclear:  "the store's answer was lost and the key was read back; look at the store and its network",
 	outcome.RetryPeerLost:      "another entry did not answer; look for a cut between failure domains",
+	outcome.RetryTaskFailed:    "an idempotent task failed and another worker was tried; look at the task's error, then for workers in quarantine",
 	outcome.RetryGangRefused:   "a worker refused its part of a gang and the gang is placed again; expected while workers drain",
 }
 
