--- a/advice/advice.go
+++ b/advice/advice.go
@@ -44,12 +44,12 @@
 	outcome.RetryWorkerFull:    "a worker had no free slot and another was tried; if it grows, add workers or slots",
 	outcome.RetryWorkerRefused: "a worker is leaving or fenced the call, and another was tried; expected while workers drain",
 	outcome.RetryWorkerLost:    "a worker did not answer and another was tried; look for workers in quarantine",
+	outcome.RetryTaskFailed:    "an idempotent request failed on one worker and another was tried; look for workers in quarantine",
 	outcome.RetryHedge:         "an idempotent request was sent to a second worker; if it grows, look for slow workers",
 	outcome.RetryStoreConflict: "another entry wrote the key first; expected after a change of the scheduler",
 	outcome.RetryStoreDown:     "the store refused a call; look at the store",
 	outcome.RetryStoreUnclear:  "the store's answer was lost and the key was read back; look at the store and its network",
 	outcome.RetryPeerLost:      "another entry did not answer; look for a cut between failure domains",
-	outcome.RetryTaskFailed:    "an idempotent task failed and another worker was tried; look at the task's error, then for workers in quarantine",
 	outcome.RetryGangRefused:   "a worker refused its part of a gang and the gang is placed again; expected while workers drain",
 }
 
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -56,7 +56,7 @@
 		if err := expect(o, outcome.Done, "20 rupees paid"); err != nil {
 			return string(o.Kind), err
 		}
-		return string(o.Kind) + ", ran once", once(s, "deposits/refund-1")
+		return string(o.Kind) + ", ran once", once(s, "quick/deposits/refund-1")
 	}
 }
 
@@ -71,7 +71,7 @@
 	if o.Kind != outcome.NotRun || o.Reason != outcome.KeyReused {
 		return answered, fmt.Errorf("want %s, %s", outcome.NotRun, outcome.KeyReused)
 	}
-	return answered, once(s, "deposits/refund-1")
+	return answered, once(s, "quick/deposits/refund-1")
 }
 
 func wipe(ctx context.Context, s *system) (string, error) {
@@ -84,7 +84,7 @@
 	if err := expect(o, outcome.Done, "wiped"); err != nil {
 		return string(o.Kind), err
 	}
-	return string(o.Kind) + ", ran once", once(s, "health/handset-7")
+	return string(o.Kind) + ", ran once", once(s, "quick/health/handset-7")
 }
 
 func expect(o outcome.Outcome, kind outcome.Kind, body string) error {
