demo: run a reconciliation gang on adjacent accelerators

Change: the demo submits a gang of 4 x 8 accelerators and compares the workers' journals: each of the 4 workers of one rack ran it once.

--- a/demo/steps.go
+++ b/demo/steps.go
@@ -23,6 +23,7 @@
 		{"the same refund again, through entry c", refund(2)},
 		{"a refund of another amount under the same key", otherRefund},
 		{"handset wipe, through entry a", wipe},
+		{"reconciliation on 4 adjacent workers of 8 accelerators", reconcile},
 	}
 }
 
@@ -56,7 +57,7 @@
 		if err := expect(o, outcome.Done, "20 rupees paid"); err != nil {
 			return string(o.Kind), err
 		}
-		return string(o.Kind) + ", ran once", once(s, "quick/deposits/refund-1")
+		return string(o.Kind) + ", ran once", once(s, "deposits", "refund-1")
 	}
 }
 
@@ -71,7 +72,7 @@
 	if o.Kind != outcome.NotRun || o.Reason != outcome.KeyReused {
 		return answered, fmt.Errorf("want %s, %s", outcome.NotRun, outcome.KeyReused)
 	}
-	return answered, once(s, "quick/deposits/refund-1")
+	return answered, once(s, "deposits", "refund-1")
 }
 
 func wipe(ctx context.Context, s *system) (string, error) {
@@ -84,7 +85,7 @@
 	if err := expect(o, outcome.Done, "wiped"); err != nil {
 		return string(o.Kind), err
 	}
-	return string(o.Kind) + ", ran once", once(s, "quick/health/handset-7")
+	return string(o.Kind) + ", ran once", once(s, "health", "handset-7")
 }
 
 func expect(o outcome.Outcome, kind outcome.Kind, body string) error {
@@ -94,8 +95,8 @@
 	return nil
 }
 
-func once(s *system, id string) error {
-	if n := s.runs(id); n != 1 {
+func once(s *system, account, key string) error {
+	if n := len(s.runs(account, key)); n != 1 {
 		return fmt.Errorf("the workers ran it %d times", n)
 	}
 	return nil
--- a/demo/system.go
+++ b/demo/system.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -166,17 +167,29 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// runs returns how often the workers really ran a task of the given identity.
-func (s *system) runs(id string) int {
-	n := 0
-	for _, w := range s.workers {
+// run is one execution of a task by a worker.
+type run struct {
+	worker string
+	workertest.Execution
+}
+
+// runs returns the executions of a request, or of the members of a job, in the
+// order of workers.
+func (s *system) runs(account, key string) []run {
+	var list []run
+	for i, w := range s.workers {
 		for _, x := range w.Journal() {
-			if x.ID == id {
-				n++
+			if x.ID == account+"/"+key || strings.HasSuffix(x.ID, "/"+account+"/"+key) {
+				list = append(list, run{workerName(i), x})
 			}
 		}
 	}
-	return n
+	return list
+}
+
+// workerName returns the name of the i-th worker of all.
+func workerName(i int) string {
+	return fmt.Sprintf("%s-%d", domains[i/workersPerDomain], i%workersPerDomain+1)
 }
 
 // free returns a loopback address that nothing listens on.
