--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -38,9 +38,9 @@
 		s := newSite(b, workers)
 		s.start(entries, workers)
 		time.Sleep(settle)
-		from := s.sample(0)
+		from := s.sample()
 		time.Sleep(measure)
-		s.report(from, s.sample(0))
+		s.report(from, s.sample())
 	}
 }
 
@@ -58,9 +58,9 @@
 		s := newSite(b, 48)
 		s.start(1, 48)
 		time.Sleep(settle)
-		from := s.sample(0)
+		from := s.sample()
 		done, wrong := s.submit(service, rate, measure)
-		s.report(from, s.sample(0))
+		s.report(from, s.sample())
 		b.ReportMetric(float64(done)/measure.Seconds(), "done/s")
 		b.ReportMetric(float64(wrong)/measure.Seconds(), "wrong/s")
 	}
@@ -104,7 +104,7 @@
 		s.start(1, 240)
 		time.Sleep(settle)
 		c := s.client(0, token.Caller)
-		before := s.sample(0)
+		before := s.sample()
 		for i := range jobs {
 			o, err := c.Submit(context.Background(), client.Request{
 				Service: "train", Key: fmt.Sprint("job-", i), Payload: fmt.Appendf(nil, `{"sleep_ms":%d}`, clock.Hour),
@@ -114,11 +114,11 @@
 			}
 		}
 		s.running(jobs)
-		started := s.sample(0)
+		started := s.sample()
 		time.Sleep(settle)
-		from := s.sample(0)
+		from := s.sample()
 		time.Sleep(measure)
-		s.report(from, s.sample(0))
+		s.report(from, s.sample())
 		b.ReportMetric((started.storeWrites-before.storeWrites)/float64(jobs), "writes/job")
 		b.ReportMetric((started.cpu-before.cpu)/float64(jobs)*1e3, "cpu-ms/job")
 	}
--- a/capacity/site_test.go
+++ b/capacity/site_test.go
@@ -120,7 +120,7 @@
 	return client.New(client.Options{Address: "http://" + s.entries[entry], Token: s.tokens.Mint(role, "x")})
 }
 
-// sample is what one entry process has used so far.
+// sample is what the first entry and the site have used so far.
 type sample struct {
 	at                      time.Time
 	cpu, memory, peers      float64
@@ -128,8 +128,8 @@
 	storeReads, storeWrites float64
 }
 
-func (s *site) sample(entry int) sample {
-	m := metrics(s.b, "http://"+s.entries[entry]+"/metrics")
+func (s *site) sample() sample {
+	m := metrics(s.b, "http://"+s.entries[0]+"/metrics")
 	out := sample{
 		at: time.Now(), cpu: m["process_cpu_seconds_total"], memory: m["process_resident_memory_bytes"],
 		store: float64(s.toStore.Load()), workers: float64(s.toWorkers.Load()),
--- a/examples/submit/main.go
+++ b/examples/submit/main.go
@@ -13,6 +13,13 @@
 )
 
 func main() {
+	if err := submit(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func submit() error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	c := client.New(client.Options{Address: os.Getenv("CHESTNUTSAIL_ADDRESS"), Token: os.Getenv("CHESTNUTSAIL_TOKEN")})
@@ -26,13 +33,13 @@
 	if err == nil && !o.Final() {
 		o, err = c.Wait(ctx, r.Key, nil)
 	}
-	switch {
-	case err != nil:
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	case o.Kind == outcome.NotRun:
+	if err != nil {
+		return err
+	}
+	if o.Kind == outcome.NotRun {
 		fmt.Println("it did not run:", o.Reason, o.Detail)
-	default:
-		fmt.Println(o.Kind, string(o.Body))
+		return nil
 	}
+	fmt.Println(o.Kind, string(o.Body))
+	return nil
 }
