caller: refuse a body that goes on after the request

Cause: the decoder reads one JSON value and leaves the rest, so a second request in the same body was dropped without a word. Before: accepted; after: bad_request.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 
 	"github.com/justinas/alice"
@@ -28,6 +29,8 @@
 
 const maxBody = 256 << 10 // bytes
 
+var errTrailing = errors.New("something follows the request; send one JSON object")
+
 // Submitter runs or accepts requests of one kind.
 type Submitter interface {
 	Submit(ctx context.Context, s job.Spec) outcome.Outcome
@@ -103,9 +106,7 @@
 
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
 	var in request
-	body := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-	body.DisallowUnknownFields()
-	if err := body.Decode(&in); err != nil {
+	if err := decode(http.MaxBytesReader(w, r.Body, maxBody), &in); err != nil {
 		reason := outcome.BadRequest
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
@@ -123,6 +124,19 @@
 	h.answer(w, h.route(r.Context(), s))
 }
 
+// decode reads exactly one JSON value without unknown fields.
+func decode(r io.Reader, in *request) error {
+	body := json.NewDecoder(r)
+	body.DisallowUnknownFields()
+	if err := body.Decode(in); err != nil {
+		return err
+	}
+	if _, err := body.Token(); !errors.Is(err, io.EOF) {
+		return errTrailing
+	}
+	return nil
+}
+
 // spec completes a request from the text in force and checks it.
 func (h *Handler) spec(account string, in request) (job.Spec, *outcome.Outcome) {
 	refuse := func(reason outcome.Reason, detail string) (job.Spec, *outcome.Outcome) {
