--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 
@@ -91,6 +92,17 @@
 		Expect(out).To(ContainSubstring("complete -F _chestnutsail"))
 	})
 
+	It("serves the example program, and the other example replays", func() {
+		example := exec.Command("go", "run", "../examples/submit")
+		example.Env = append(os.Environ(), "CHESTNUTSAIL_ADDRESS=http://"+entry, "CHESTNUTSAIL_TOKEN="+caller)
+		out, err := example.CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+		Expect(string(out)).To(Equal("done paid\n"))
+		out, err = exec.Command("go", "run", "../examples/replay").CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+		Expect(string(out)).To(ContainSubstring("all the same"))
+	})
+
 	It("runs the demo with right answers", func() {
 		out, code := command(nil, "demo")
 		Expect(code).To(Equal(0), out)
