--- a/instances/instances.go
+++ b/instances/instances.go
@@ -33,7 +33,7 @@
 	Period clock.Millis
 	// Wait is how long a reading waits for a change in milliseconds; 0 means 1 min.
 	Wait clock.Millis
-	Log    *logrus.Entry
+	Log  *logrus.Entry
 }
 
 // Worker is a listed worker with a client of its agent.
