--- a/caller/input_test.go
+++ b/caller/input_test.go
@@ -20,6 +20,7 @@
 		Expect(o.Kind).To(Equal(outcome.NotRun))
 		Expect(o.Reason).To(Equal(reason), o.Detail)
 		Expect(code).To(Equal(status))
+		Expect(len(o.Detail)+len(o.Key)).To(BeNumerically("<", 512), "the refusal repeats the input")
 		Expect(append(quick.specs, jobs.specs...)).To(BeEmpty())
 	},
 	Entry("malformed", "kulhar", `{"service":`, http.StatusBadRequest, outcome.BadRequest),
@@ -30,6 +31,8 @@
 	Entry("oversized", "kulhar", `{"service":"`+strings.Repeat("x", 300<<10)+`"}`, http.StatusRequestEntityTooLarge, outcome.TooLarge),
 	Entry("with an oversized payload", "kulhar",
 		`{"service":"refund","key":"r","payload":"`+base64.StdEncoding.EncodeToString(make([]byte, job.MaxPayload+1))+`"}`, http.StatusBadRequest, outcome.BadRequest),
+	Entry("with a long service", "kulhar", `{"service":"`+strings.Repeat("x", 200<<10)+`","key":"r"}`, http.StatusBadRequest, outcome.BadRequest),
+	Entry("with a long key", "kulhar", `{"service":"refund","key":"`+strings.Repeat("x", 200<<10)+`"}`, http.StatusBadRequest, outcome.BadRequest),
 	Entry("without a key", "kulhar", `{"service":"refund"}`, http.StatusBadRequest, outcome.BadRequest),
 	Entry("with a key that is a path", "kulhar", `{"service":"refund","key":"../x"}`, http.StatusBadRequest, outcome.BadRequest),
 	Entry("of an unknown class", "kulhar", `{"service":"refund","key":"r","class":"now"}`, http.StatusBadRequest, outcome.BadRequest),
