--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -25,6 +26,8 @@
 		{"OPERATING.md", "retries", retryRows},
 		{"API.md", "reasons", reasonRows},
 		{"OPERATING.md", "commands", func() []string { return commandRows(t) }},
+		{"OPERATING.md", "pages", func() []string { return pageRows(t, "operating", "operating/") }},
+		{"design/README.md", "notes", func() []string { return pageRows(t, "design", "") }},
 	}
 	for _, c := range tables {
 		t.Run(c.name, func(t *testing.T) { compare(t, c.page, c.name, strings.Join(c.rows(), "\n")) })
@@ -103,6 +106,50 @@
 	return rows
 }
 
+// pageRows lists the pages of a directory by their headings.
+func pageRows(t *testing.T, dir, prefix string) []string {
+	pages, err := filepath.Glob(dir + "/*.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := []string{}
+	for _, page := range pages {
+		name := filepath.Base(page)
+		if name == "README.md" {
+			continue
+		}
+		raw, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		heading, _, _ := strings.Cut(string(raw), "\n")
+		rows = append(rows, fmt.Sprintf("- [%s](%s%s)", strings.TrimLeft(heading, "# "), prefix, name))
+	}
+	return rows
+}
+
+var link = regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+
+func TestLinksResolve(t *testing.T) {
+	for _, pattern := range []string{"../*.md", "*.md", "*/*.md"} {
+		pages, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, page := range pages {
+			raw, err := os.ReadFile(page)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range link.FindAllStringSubmatch(string(raw), -1) {
+				if _, err := os.Stat(filepath.Join(filepath.Dir(page), m[1])); err != nil {
+					t.Errorf("%s: broken link %s", page, m[1])
+				}
+			}
+		}
+	}
+}
+
 func code(v string) string {
 	if v == "" {
 		return ""
