--- a/demo/steps.go
+++ b/demo/steps.go
@@ -24,6 +24,9 @@
 		{"a refund of another amount under the same key", otherRefund},
 		{"handset wipe, through entry a", wipe},
 		{"reconciliation on 4 adjacent workers of 8 accelerators", reconcile},
+		{"fraud sweeps that borrow every accelerator of domain a", sweep},
+		{"urgent reconciliation that reclaims its guarantee", reclaim},
+		{"the stopped sweeps, run again to their end", resume},
 	}
 }
 
--- a/demo/system.go
+++ b/demo/system.go
@@ -35,6 +35,7 @@
 
 // system is everything that the demo runs.
 type system struct {
+	clock   *clock.Clock
 	store   string
 	tokens  *token.Secrets
 	workers []*workertest.Server
@@ -48,7 +49,7 @@
 // again when something fails.
 func start(ctx context.Context, log *logrus.Logger) (*system, error) {
 	secret := rand.Text()
-	s := &system{tokens: token.New(secret)}
+	s := &system{clock: clock.New(), tokens: token.New(secret)}
 	err := s.startPlatform(ctx)
 	if err == nil {
 		err = s.startEntries(ctx, secret, log)
