renewer, gang: a notice wakes only the renewals that it concerns

Ruled out: slow workers; their calls were answered in milliseconds. Change: a notice wakes a renewal only for a task that runs there and is no failure; notices are sent only once a member can be renewed by others; reports carry the worker's own term; an adopted gang is confirmed under the new term.

--- a/dispatch/carry.go
+++ b/dispatch/carry.go
@@ -219,7 +219,7 @@
 	}
 	e := scheduler.Event{Kind: r.Kind, ID: j.id, Attempt: j.attempt, Worker: r.Worker}
 	if r.Kind == scheduler.Started {
-		s.begun(j, e)
+		s.begun(j, e, r)
 		return
 	}
 	if r.Checkpoint != "" {
@@ -242,14 +242,19 @@
 	}
 }
 
-// begun tells the core that a gang runs, and takes in what was reported early.
-func (s *session) begun(j *live, e scheduler.Event) {
+// begun tells the core that a gang runs, and takes in which members have ended meanwhile.
+func (s *session) begun(j *live, e scheduler.Event, r gang.Result) {
 	j.started = true
 	s.step(e)
 	early := j.early
 	j.early = nil
-	for _, r := range early {
-		s.observeTask(r.worker, r.task)
+	for i, m := range j.gang.Members() {
+		early = append(early, seen{m.Worker, r.Tasks[i]})
+	}
+	for _, t := range early {
+		if j.gang != nil {
+			s.observeTask(t.worker, t.task)
+		}
 	}
 }
 
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -292,7 +292,8 @@
 		return o.Kind != outcome.Accepted && o.Reason != outcome.StoreUnreachable
 	}).WithTimeout(10*time.Second).WithPolling(20*time.Millisecond).Should(BeTrue(), func() string {
 		raw, _ := e.domain.store.Value("live/a/kulhar/" + key)
-		return fmt.Sprintf("job %s did not end: %s %+v", key, raw, e.domain.runs("kulhar/"+key))
+		trace, _ := e.disp.Trace(context.Background())
+		return fmt.Sprintf("job %s did not end: %s %+v\n%s", key, raw, e.domain.runs("kulhar/"+key), trace)
 	})
 	return o
 }
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -134,7 +134,7 @@
 		return
 	}
 	if !j.started {
-		j.early = append(j.early, report{name, t})
+		j.early = append(j.early, seen{name, t})
 		return
 	}
 	if t.State != worker.Finished {
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -56,7 +56,7 @@
 	// started tells that the whole gang was seen running; early holds what was
 	// reported of its members before.
 	started bool
-	early   []report
+	early   []seen
 	// finished are the members that have finished.
 	finished map[string]bool
 	stopping bool
@@ -65,8 +65,8 @@
 	unwritten bool
 }
 
-// report is the state of one task on a worker.
-type report struct {
+// seen is the state of one task on a worker.
+type seen struct {
 	worker string
 	task   worker.Task
 }
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -158,6 +158,8 @@
 	tasks     []worker.Task
 	committed bool
 	lifted    bool
+	// renewable tells that a member may be renewed by other entries.
+	renewable bool
 }
 
 // New returns an idle gang.
@@ -200,6 +202,9 @@
 // Wanted reports whether no stop was asked for.
 func (g *Gang) Wanted() bool { return !g.halted() }
 
+// Members returns the parts of the gang.
+func (g *Gang) Members() []job.Member { return g.opts.Record.Members }
+
 // Size returns the number of members.
 func (g *Gang) Size() int { return len(g.opts.Record.Members) }
 
@@ -256,6 +261,7 @@
 	if name, err := g.each(ctx, g.lift); err != nil {
 		return g.fail(ctx, name, err)
 	}
+	g.note(func() { g.renewable = true })
 	if name, err := g.each(ctx, g.confirm); err != nil {
 		return g.fail(ctx, name, err)
 	}
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -19,10 +19,8 @@
 	if !g.life.Is(stopping) {
 		g.move(stop)
 	}
-	spread := make(chan bool, 1)
-	go func() { spread <- g.opts.Broadcast(ctx, grace) }()
 	silent := make([]bool, len(g.opts.Record.Members))
-	heard := sync.OnceValue(func() bool { return <-spread })
+	heard := g.broadcast(ctx, grace)
 	var all sync.WaitGroup
 	for i, m := range g.opts.Record.Members {
 		all.Go(func() {
@@ -43,6 +41,20 @@
 	return g.verdict(silent)
 }
 
+// broadcast asks the entries that may renew a member to stop it, and returns whether
+// all of them have heard it once that is known.
+func (g *Gang) broadcast(ctx context.Context, grace clock.Millis) func() bool {
+	g.mu.Lock()
+	renewable := g.renewable
+	g.mu.Unlock()
+	if !renewable {
+		return func() bool { return true }
+	}
+	spread := make(chan bool, 1)
+	go func() { spread <- g.opts.Broadcast(ctx, grace) }()
+	return sync.OnceValue(func() bool { return <-spread })
+}
+
 // stopMember asks one member to stop until it answers or its lease must have ended.
 func (g *Gang) stopMember(ctx context.Context, m job.Member, grace clock.Millis, heard func() bool) (worker.Task, bool) {
 	asked := g.opts.Clock.Now()
@@ -159,7 +171,7 @@
 func (g *Gang) Adopt(ctx context.Context) Result {
 	g.begun.Lock()
 	defer g.begun.Unlock()
-	g.note(func() { g.committed = true })
+	g.note(func() { g.committed, g.renewable = true, true })
 	seen := g.await(ctx)
 	if g.halted() {
 		return g.end(ctx, 0)
@@ -179,11 +191,17 @@
 		}
 		return r
 	}
-	if whole(seen.Tasks) {
-		g.move(run)
-		return g.result(scheduler.Started, "", nil)
+	if !whole(seen.Tasks) {
+		return g.launch(ctx)
+	}
+	// Confirming shows the members the new term.
+	g.move(start)
+	g.move(lift)
+	if name, err := g.each(ctx, g.confirm); err != nil {
+		return g.fail(ctx, name, err)
 	}
-	return g.launch(ctx)
+	g.move(run)
+	return g.result(scheduler.Started, "", nil)
 }
 
 // await checks the members until all have answered or a silent one's lease must have ended.
--- a/renewer/share.go
+++ b/renewer/share.go
@@ -23,8 +23,9 @@
 	since uint64
 	// stops are the tasks to be stopped, by ID.
 	stops map[string]order
-	// wake ends a renewal that waits, so that a stop is carried out.
-	wake context.CancelFunc
+	// wake ends a renewal that waits, so that a stop is carried out; woken tells that it did.
+	wake  context.CancelFunc
+	woken bool
 }
 
 // order is a stop that is to be carried out.
@@ -59,6 +60,7 @@
 			heard = sent
 			s.lost.Store(false)
 			s.learn(term, report)
+		case s.cutShort():
 		case worker.RefusalOf(err) != "":
 			heard = sent
 			clock.Sleep(s.ctx, min(pause, s.r.opts.Period))
@@ -74,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, (s.r.opts.Period + slack).Duration())
 	defer cancel()
 	s.mu.Lock()
-	s.wake = cancel
+	s.wake, s.woken = cancel, false
 	in := worker.Renewal{Term: term, Lease: s.r.opts.Lease, Since: s.since, Wait: s.r.opts.Period}
 	if s.since == 0 {
 		in.Wait = 0
@@ -88,6 +90,14 @@
 	return s.target.Agent.Renew(ctx, in)
 }
 
+// cutShort reports whether the last renewal was ended to carry out a stop.
+func (s *share) cutShort() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer func() { s.woken = false }()
+	return s.woken
+}
+
 // learn takes in a report. A change counts as seen once the scheduler has it.
 func (s *share) learn(term int64, report worker.Report) {
 	s.mu.Lock()
@@ -100,7 +110,7 @@
 	s.mu.Unlock()
 	if len(report.Tasks) > 0 {
 		s.spread(report.Tasks)
-		if err := s.r.opts.Line.Deliver(s.ctx, Event{Worker: s.target.Name, Term: term, Tasks: report.Tasks}); err != nil {
+		if err := s.r.opts.Line.Deliver(s.ctx, Event{Worker: s.target.Name, Term: max(term, report.Term), Tasks: report.Tasks}); err != nil {
 			clock.Sleep(s.ctx, min(pause, s.r.opts.Period))
 			return
 		}
@@ -153,16 +163,23 @@
 	due := s.r.opts.Clock.Now() + n.After
 	if n.Worker == "" {
 		// The task may be on the worker though no report has shown it yet.
-		s.stops[n.ID] = order{n.Attempt, n.Grace, due}
-	} else {
-		for id, t := range s.tasks {
-			if t.State.Holds() && slices.Contains(t.Gang, n.Worker) {
-				s.stops[id] = order{t.Attempt, n.Grace, due}
-			}
+		s.order(n.ID, order{n.Attempt, n.Grace, due})
+		return
+	}
+	for id, t := range s.tasks {
+		if t.State.Holds() && slices.Contains(t.Gang, n.Worker) {
+			s.order(id, order{t.Attempt, n.Grace, due})
 		}
 	}
-	if s.wake != nil {
+}
+
+// order notes a stop, and wakes the renewal if the task may run here. The caller holds mu.
+func (s *share) order(id string, o order) {
+	s.stops[id] = o
+	if s.holds(id, o.attempt) && s.wake != nil {
+		s.woken = true
 		s.wake()
+		s.wake = nil
 	}
 }
 
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -132,6 +132,8 @@
 	Incarnation string        `json:"incarnation"`
 	Free        job.Resources `json:"free"`
 	Leaving     bool          `json:"leaving,omitempty"`
+	// Term is the highest term that the agent has seen.
+	Term int64 `json:"term,omitempty"`
 	// Change counts the changes of gang tasks since the agent started.
 	Change uint64 `json:"change,omitempty"`
 	Tasks  []Task `json:"tasks,omitempty"`
--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -189,7 +189,7 @@
 	if since > s.change {
 		since = 0
 	}
-	r := worker.Report{Free: s.free, Leaving: s.leaving, Change: s.change}
+	r := worker.Report{Free: s.free, Leaving: s.leaving, Term: s.term, Change: s.change}
 	for _, t := range s.tasks {
 		if t.Term > 0 && t.change > since {
 			out := s.shown(t)
