scheduler, dispatch: refuse never-runnable jobs at takeover, decide nothing without a text

Cause: with the core of guarantees behind the dispatcher, 13 of 16 dispatcher specs timed out: the specs' account had no guarantee for work that can't be stopped, and jobs that reached the core in a Load waited for ever, where the same jobs in a Submit were ended at the door. Beside it, a scheduler elected before it had read a text would have turned such work away as notrun. Ruled out: a lost End action (the trace showed that none was given); ending waiting jobs on every change of the text (an operator's slip would end them). Change: Load ends the new waiting jobs that can never run; the session waits for a text before it recovers; the refusal is no_guarantee in place of over_quota. Before/after: dispatch 3 of 16 specs pass in 164 s, then 17 of 17; with the wait removed "decides nothing before a text is in force" fails (notrun, wanted accepted).

--- a/advice/advice.go
+++ b/advice/advice.go
@@ -17,6 +17,7 @@
 	outcome.UnknownService:   "use a service that the text lists for this account",
 	outcome.KeyReused:        "use a new key for a new request",
 	outcome.ImpossibleShape:  "ask for a shape that some set of workers can hold",
+	outcome.NoGuarantee:      "let the service checkpoint or be idempotent, or give the account a guarantee that holds the shape",
 	outcome.OverQuota:        "ask for less, or ask an operator for a higher quota",
 	outcome.QueueFull:        "submit it again after the time given",
 	outcome.DeadlineExceeded: "submit it again with a longer deadline",
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -157,6 +157,10 @@
 	if _, ok := t.Account(account); !ok {
 		return refuse(outcome.UnknownAccount, "the text in force has no account "+account)
 	}
+	if !job.IsName(in.Service) || !job.IsName(in.Key) {
+		in.Key = ""
+		return refuse(outcome.BadRequest, "service and key: want 1 to 128 letters, digits, '.', '_', ':' or '-', starting with a letter or digit")
+	}
 	service, ok := t.Service(in.Service)
 	if !ok || service.Account != account {
 		return refuse(outcome.UnknownService, "the account has no service "+in.Service)
--- a/caller/status.go
+++ b/caller/status.go
@@ -16,6 +16,7 @@
 	outcome.UnknownService:  http.StatusNotFound,
 	outcome.KeyReused:       http.StatusConflict,
 	outcome.ImpossibleShape: http.StatusUnprocessableEntity,
+	outcome.NoGuarantee:     http.StatusUnprocessableEntity,
 	outcome.OverQuota:       http.StatusUnprocessableEntity,
 	outcome.QueueFull:       http.StatusTooManyRequests,
 	outcome.WorkersBusy:     http.StatusTooManyRequests,
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -108,4 +108,16 @@
 		}
 		AddReportEntry("time", time.Since(begun))
 	})
+
+	It("decides nothing before a text is in force", func() {
+		d := newDomain(1)
+		d.blank.Store(true)
+		e := d.join("e1")
+		Expect(e.ledger.Submit(context.Background(), gangSpec("early", 1, `{"echo":"ok"}`)).Kind).To(Equal(outcome.Accepted))
+		Consistently(func() outcome.Kind {
+			return e.ledger.Ask(context.Background(), "kulhar", "early").Kind
+		}).WithTimeout(time.Second).Should(Equal(outcome.Accepted))
+		d.blank.Store(false)
+		Expect(e.ends("early").Kind).To(Equal(outcome.Done))
+	})
 })
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -52,6 +52,9 @@
 	servers  []*httptest.Server
 	capacity job.Resources
 
+	// blank keeps every text from the entries.
+	blank atomic.Bool
+
 	mu      sync.Mutex
 	entries map[string]*entry
 }
@@ -224,11 +227,15 @@
 	_ = e.ledger.Stop(ctx)
 }
 
-// Now returns a text that says nothing.
+// Now returns a text that guarantees the whole fleet to one account, so that work
+// that cannot be stopped may run anywhere.
 func (e *entry) Now() config.Snapshot {
+	if e.domain.blank.Load() {
+		return config.Snapshot{Text: &text.Text{}}
+	}
 	return config.Snapshot{Revision: 1, Text: &text.Text{
 		Fleet:    []text.Pool{{Domain: "a", Racks: 1, Workers: len(e.agents), Accels: 8, Slots: 8}},
-		Accounts: []text.Account{{Name: "kulhar"}},
+		Accounts: []text.Account{{Name: "kulhar", Guarantee: []text.Guarantee{{Accels: 8, Count: len(e.agents)}}}},
 	}}
 }
 
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -20,6 +20,9 @@
 // recover fences the workers against older terms, reads the live records and
 // rebuilds the core from them. It reports false when the session ended first.
 func (s *session) recover() bool {
+	if !s.awaitText() {
+		return false
+	}
 	found := s.fence()
 	var records []ledger.Entry
 	for try := 0; ; try++ {
@@ -51,6 +54,17 @@
 	return true
 }
 
+// awaitText waits until a text is in force: without one the core would turn away
+// whatever needs a guarantee.
+func (s *session) awaitText() bool {
+	for s.opts.Texts.Now().Revision == 0 {
+		if !clock.Sleep(s.ctx, leadPause) {
+			return false
+		}
+	}
+	return true
+}
+
 // load brings the text, the workers and the records to the core at once, so that it
 // decides nothing before it knows them all.
 func (s *session) load(records []ledger.Entry) {
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -6,13 +6,15 @@
 
 // The reasons of a refusal or of an unknown outcome.
 const (
-	BadRequest       Reason = "bad_request"
-	TooLarge         Reason = "too_large"
-	Unauthorized     Reason = "unauthorized"
-	UnknownAccount   Reason = "unknown_account"
-	UnknownService   Reason = "unknown_service"
-	KeyReused        Reason = "key_reused"
-	ImpossibleShape  Reason = "impossible_shape"
+	BadRequest      Reason = "bad_request"
+	TooLarge        Reason = "too_large"
+	Unauthorized    Reason = "unauthorized"
+	UnknownAccount  Reason = "unknown_account"
+	UnknownService  Reason = "unknown_service"
+	KeyReused       Reason = "key_reused"
+	ImpossibleShape Reason = "impossible_shape"
+	// NoGuarantee means that work which cannot be stopped fits no guarantee of its account.
+	NoGuarantee      Reason = "no_guarantee"
 	OverQuota        Reason = "over_quota"
 	QueueFull        Reason = "queue_full"
 	DeadlineExceeded Reason = "deadline_exceeded"
@@ -41,7 +43,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		BadRequest, TooLarge, Unauthorized, UnknownAccount, UnknownService, KeyReused,
-		ImpossibleShape, OverQuota, QueueFull, DeadlineExceeded, NoWorker, WorkersBusy,
+		ImpossibleShape, NoGuarantee, OverQuota, QueueFull, DeadlineExceeded, NoWorker, WorkersBusy,
 		StoreUnreachable, StoreOverBudget, Leaving, NotReady, Canceled, InProgress,
 		AnswerLost, ClaimUnclear, KeepsFailing, UnknownKey, Abandoned, WorkerReplaced,
 		WorkerStopped,
--- a/scheduler/door.go
+++ b/scheduler/door.go
@@ -20,7 +20,7 @@
 		return outcome.OverQuota, false
 	}
 	if !s.Stoppable() && !c.everOwn(s) {
-		return outcome.OverQuota, false
+		return outcome.NoGuarantee, false
 	}
 	return "", true
 }
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -39,7 +39,7 @@
 	// Tick lets time pass.
 	Tick EventKind = "tick"
 	// Load puts the core into a state as a whole, forgets all that it knew before,
-	// and gives no actions: State. A scheduler that takes over a domain loads the
+	// and ends no more than the jobs that are new to it and can never run: State. A scheduler that takes over a domain loads the
 	// workers and records it has found before it lets the core decide.
 	Load EventKind = "load"
 )
--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -14,11 +14,8 @@
 	if c.works[id] != nil || r.State.Ended() {
 		return
 	}
-	if r.State == job.Waiting && r.Attempt == 0 {
-		if reason, ok := c.admit(&r.Spec); !ok {
-			c.emit(Action{Kind: End, ID: id, State: job.Failed, Reason: reason})
-			return
-		}
+	if c.turnedAway(&r) {
+		return
 	}
 	if r.Submitted == 0 {
 		r.Submitted = c.now
@@ -31,6 +28,19 @@
 	c.adopt(w)
 }
 
+// turnedAway ends a job that was never placed and can never run, and reports
+// whether it did.
+func (c *Core) turnedAway(r *job.Record) bool {
+	if r.State != job.Waiting || r.Attempt > 0 {
+		return false
+	}
+	reason, ok := c.admit(&r.Spec)
+	if !ok {
+		c.emit(Action{Kind: End, ID: r.Spec.ID(), State: job.Failed, Reason: reason})
+	}
+	return !ok
+}
+
 // know makes a work of the record, in no queue and on no worker.
 func (c *Core) know(r job.Record) *work {
 	r.Spec.Payload, r.Outcome.Body = nil, nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -122,7 +122,7 @@
 	c.actions, c.now = nil, max(now, c.now)
 	if e.Kind == Load {
 		c.load(*e.State)
-		return nil
+		return c.actions
 	}
 	c.take(e)
 	if c.due != 0 && c.now >= c.due {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -141,6 +141,9 @@
 		if c.works[j.Record.Spec.ID()] != nil || j.Record.State.Ended() {
 			continue
 		}
+		if j.Seq == 0 && c.turnedAway(&j.Record) {
+			continue
+		}
 		w := c.loadJob(j)
 		if w.rec.State != job.Waiting && len(w.parts) == 0 {
 			found = append(found, w)
