entry: compose the mesh, the listing, the drain and the life of an entry

Cause: an entry knew no others, closed its port at once on SIGTERM and listed itself nowhere. Ruled out: resigning only after the linger (the domain would wait for nothing).

--- a/cmd/chestnutsail/entry.go
+++ b/cmd/chestnutsail/entry.go
@@ -9,10 +9,14 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/entry"
 	"github.com/chestnutsail/chestnutsail/settings"
 )
 
+// closeTime is the time for closing connections after a drain, in milliseconds.
+const closeTime = 5 * clock.Second
+
 type entryCommand struct{ settings settings.Entry }
 
 func (*entryCommand) name() string { return "entry" }
@@ -32,8 +36,12 @@
 	if err := e.Start(ctx); err != nil {
 		return fail(exitFailed, err)
 	}
-	<-ctx.Done()
-	drain, cancel := context.WithTimeout(context.Background(), c.settings.Drain.Duration())
+	select {
+	case <-ctx.Done():
+	case <-e.Leaving():
+	}
+	limit := c.settings.Linger + c.settings.Drain + closeTime
+	drain, cancel := context.WithTimeout(context.Background(), limit.Duration())
 	defer cancel()
 	if err := e.Stop(drain); err != nil {
 		return fail(exitFailed, err)
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,14 +1,13 @@
 // Package drain takes an instance out of service without cutting a request: it says
-// that the instance is leaving on every channel at once, goes on serving while the
-// balancer still sends, then takes nothing new, hands its queue on and finishes what
-// is in progress.
+// that the instance is leaving and hands its duties on at once, goes on serving while
+// the balancer still sends, then takes nothing new and finishes what is in progress.
 //
 // # Usage
 //
 //	d := drain.New(drain.Options{Linger: 5 * clock.Second, Limit: 30 * clock.Second})
 //	handler := d.Track(mux)             // counts what is in progress
 //	mux.Handle("/v1/requests", d.Admit(callers, refuse))
-//	d.Announce(mesh.Leave)
+//	d.Announce(mesh.Leave)              // called when it begins to leave
 //	<-d.Begun()                         // somebody asked for it
 //	err := d.Drain(ctx)
 package drain
@@ -37,8 +36,6 @@
 	Linger clock.Millis
 	// Limit bounds the wait for requests in progress, in milliseconds; 0 means 30 s.
 	Limit clock.Millis
-	// Hand gives waiting work to others once nothing new is taken; nil means nothing.
-	Hand func(ctx context.Context)
 	// Log defaults to the standard logger.
 	Log *logrus.Entry
 }
@@ -75,8 +72,8 @@
 	return &Drainer{opts: opts, begun: make(chan struct{}), shut: make(chan struct{})}
 }
 
-// Announce adds a way in which others are told that the instance is leaving. All are
-// used at once and none is waited for.
+// Announce adds a function that tells others that the instance is leaving, or hands a
+// duty on. All are called at once and none is waited for.
 func (d *Drainer) Announce(say func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -118,9 +115,6 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, d.opts.Limit.Duration())
 	defer cancel()
-	if d.opts.Hand != nil {
-		d.opts.Hand(limit)
-	}
 	select {
 	case <-d.quiet():
 		d.opts.Log.Info("drain: nothing in progress")
--- /dev/null
+++ b/drain/drain_suite_test.go
@@ -0,0 +1,9 @@
+package drain_test
+
+import (
+	"testing"
+
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+func TestDrain(t *testing.T) { suite.Run(t, "drain") }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,30 +10,38 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutsail/chestnutsail/budget"
 	"github.com/chestnutsail/chestnutsail/caller"
+	"github.com/chestnutsail/chestnutsail/check"
 	"github.com/chestnutsail/chestnutsail/claim"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/config"
 	"github.com/chestnutsail/chestnutsail/counters"
+	"github.com/chestnutsail/chestnutsail/drain"
 	"github.com/chestnutsail/chestnutsail/expiry"
 	"github.com/chestnutsail/chestnutsail/instances"
 	"github.com/chestnutsail/chestnutsail/kernel"
+	"github.com/chestnutsail/chestnutsail/listing"
 	"github.com/chestnutsail/chestnutsail/operator"
+	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/peer"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/quick"
 	"github.com/chestnutsail/chestnutsail/settings"
 	"github.com/chestnutsail/chestnutsail/token"
 )
 
-const readHeaderTimeout = 5 * clock.Second
+const (
+	readHeaderTimeout = 5 * clock.Second
+	resignTime        = 2 * clock.Second
+)
 
 // Options configures an Entry.
 type Options struct {
@@ -49,7 +57,8 @@
 	kernel   *kernel.Kernel
 	server   *http.Server
 	listener net.Listener
-	leaving  atomic.Bool
+	drainer  *drain.Drainer
+	life     *life
 }
 
 // New composes an entry. It serves nothing before Start.
@@ -59,6 +68,8 @@
 	}
 	e := &Entry{opts: opts, kernel: kernel.New()}
 	e.log = opts.Log.WithField("entry", opts.Settings.Name)
+	e.life = newLife(e.log)
+	e.drainer = drain.New(drain.Options{Linger: opts.Settings.Linger, Limit: opts.Settings.Drain, Log: e.log})
 	return e
 }
 
@@ -78,6 +89,7 @@
 			e.log.WithError(err).Error("entry: serving ended")
 		}
 	}()
+	e.life.move(ctx, serve)
 	e.log.WithField("address", e.Address()).Info("entry: serving")
 	return nil
 }
@@ -85,12 +97,18 @@
 // Address returns the host and port that the entry serves on.
 func (e *Entry) Address() string { return e.listener.Addr().String() }
 
-// Stop takes nothing new, finishes the requests in progress and stops the services.
+// Leaving is closed when the entry begins to leave, be it by Stop or because an
+// operator asked for it; Stop then has to be called.
+func (e *Entry) Leaving() <-chan struct{} { return e.drainer.Begun() }
+
+// Stop says that the entry is leaving, takes new work until the linger is over,
+// finishes what is in progress and stops the services.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.leaving.Store(true)
-	e.log.Info("entry: leaving")
-	err := e.server.Shutdown(ctx)
-	return errors.Join(err, e.kernel.Stop(ctx))
+	e.life.move(ctx, leave)
+	err := e.drainer.Drain(ctx)
+	err = errors.Join(err, e.server.Shutdown(ctx), e.kernel.Stop(ctx))
+	e.life.move(ctx, stop)
+	return err
 }
 
 // compose makes the services in the order in which they depend on each other.
@@ -100,7 +118,9 @@
 	count := counters.New()
 	tokens := token.New(s.Secret, s.Previous)
 	store := platform.New(platform.Config{Address: s.Store})
-	holder := config.New(config.Options{Store: store, Log: e.log})
+	mesh := e.mesh(meshParts{store: store, tokens: tokens, counters: count, clock: clk})
+	holder := config.New(config.Options{Store: store, Peers: mesh, Check: check.Text, Clock: clk, Log: e.log})
+	row := listing.New(listing.Options{Platform: store, Row: e.row(), Log: e.log})
 	directory := instances.New(instances.Options{Source: store, Domain: s.Domain, Log: e.log})
 	retries := budget.New(budget.Options{Clock: clk})
 	claims := claim.New(claim.Options{Store: store, Clock: clk, Budget: retries, Counters: count})
@@ -113,34 +133,68 @@
 		},
 	})
 	e.kernel.Add("store", store)
+	e.kernel.Add("mesh", mesh)
 	e.kernel.Add("config", holder)
+	e.kernel.Add("listing", row)
 	e.kernel.Add("instances", directory)
 	e.kernel.Add("budget", retries)
 	e.kernel.Add("claims", claims)
 	e.kernel.Add("expiry", sweeper)
 	e.kernel.Add("quick", router)
 
-	book := e.jobs(jobParts{store: store, holder: holder, directory: directory, counters: count, clock: clk})
+	book := e.jobs(jobParts{store: store, holder: holder, directory: directory, mesh: line{mesh}, counters: count, clock: clk})
 
 	callers := caller.New(caller.Options{Quick: router, Jobs: book, Texts: holder, Tokens: tokens, Counters: count, Log: e.log})
 	operators := operator.New(operator.Options{Config: holder, Tokens: tokens})
+	e.announce(mesh, row)
+	api := http.NewServeMux()
+	api.Handle("POST /v1/requests", e.drainer.Admit(callers, refuse(count)))
+	api.Handle("/v1/requests", callers)
+	api.Handle("/v1/requests/", callers)
+	api.Handle("/v1/text", operators)
 	mux := http.NewServeMux()
-	mux.Handle("/v1/requests", callers)
-	mux.Handle("/v1/requests/", callers)
-	mux.Handle("/v1/text", operators)
+	mux.Handle("/v1/", e.drainer.Track(api))
+	mux.Handle(peer.Path, mesh)
 	mux.Handle("/metrics", count)
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/ready", e.ready)
 	return mux
 }
 
+// announce sets how others learn that this entry is leaving, and who takes over.
+func (e *Entry) announce(mesh *peer.Mesh, row *listing.Listing) {
+	e.drainer.Announce(mesh.Leave)
+	e.drainer.Announce(func() {
+		if err := row.Announce(context.Background()); err != nil {
+			e.log.WithError(err).Warn("entry: not marked as leaving with the platform")
+		}
+	})
+	e.drainer.Announce(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), resignTime.Duration())
+		defer cancel()
+		e.kernel.Resign(ctx)
+	})
+}
+
 // ready answers 200 once a text is in force and until the instance leaves.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
 	holder, _ := kernel.Find[*config.Holder](e.kernel, "config")
 	switch {
-	case e.leaving.Load():
+	case e.drainer.Leaving():
+		w.Header().Set("Connection", "close")
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case holder.Now().Revision == 0:
 		http.Error(w, "no text in force", http.StatusServiceUnavailable)
 	}
 }
+
+// refuse answers new requests once the entry takes none.
+func refuse(count *counters.Counters) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		o := outcome.Refuse("", outcome.Leaving, clock.Millisecond, "this entry is leaving; another takes the request")
+		count.Refused(o.Reason)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(caller.Status(o))
+		_ = json.NewEncoder(w).Encode(o)
+	})
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -18,7 +18,7 @@
 	store     *platform.Client
 	holder    *config.Holder
 	directory *instances.Directory
-	mesh      dispatch.Mesh
+	mesh      line
 	counters  *counters.Counters
 	clock     *clock.Clock
 }
@@ -48,6 +48,7 @@
 	e.kernel.Add("renewer", renewals)
 	// The seat stops first, so that another entry takes the domain over at once.
 	e.kernel.Add("term", seat)
+	e.kernel.Add("herald", newHerald(seat, p.mesh.Announce))
 	return book
 }
 
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -28,6 +28,11 @@
 	Stop(ctx context.Context) error
 }
 
+// Resigner is a service with duties to hand over as soon as the process is to end.
+type Resigner interface {
+	Resign(ctx context.Context)
+}
+
 // Error tells which service failed to start or stop.
 type Error struct {
 	Service string
@@ -88,6 +93,16 @@
 	return nil
 }
 
+// Resign has the services hand their duties over, in reverse order.
+func (k *Kernel) Resign(ctx context.Context) {
+	names := k.order()
+	for i := len(names) - 1; i >= 0; i-- {
+		if s, ok := Find[Resigner](k, names[i]); ok {
+			s.Resign(ctx)
+		}
+	}
+}
+
 // Stop stops the started services in reverse order and returns all failures.
 // It does nothing the second time.
 func (k *Kernel) Stop(ctx context.Context) error {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -58,7 +58,7 @@
 }
 
 // Handler answers a call of another entry. The context ends at the caller's deadline.
-type Handler func(ctx context.Context, from string, in []byte) ([]byte, error)
+type Handler = func(ctx context.Context, from string, in []byte) ([]byte, error)
 
 // Seed is an address at which an entry may be found.
 type Seed struct {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,8 @@
 	// Log is the form of the logs: text or json. Level is debug, info, warn or error.
 	Log   string
 	Level string
+	// Linger is how long in milliseconds new work is taken after the begin of a stop.
+	Linger clock.Millis
 	// Drain bounds the time in milliseconds for finishing work at a stop.
 	Drain clock.Millis
 
@@ -60,6 +62,7 @@
 		secret("previous", &s.Previous, true, "Secret that is still accepted while secrets are rotated."),
 		choice("log", &s.Log, "Form of the logs.", "text", "json"),
 		choice("level", &s.Level, "Least level that is logged.", "info", "debug", "warn", "error"),
+		span("linger", &s.Linger, 4*clock.Second, 0, clock.Minute, "Time for which a stopping instance takes new work, until the balancer has learned."),
 		span("drain", &s.Drain, 30*clock.Second, clock.Second, 10*clock.Minute, "Longest time for finishing work at a stop."),
 	}
 }
