--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -1,10 +1,14 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/gang"
 	"github.com/chestnutsail/chestnutsail/job"
 	"github.com/chestnutsail/chestnutsail/ledger"
 	"github.com/chestnutsail/chestnutsail/platform"
@@ -28,15 +32,10 @@
 			return false
 		}
 	}
-	s.look()
+	s.load(records)
 	for _, e := range records {
-		if e.Record.State != job.Waiting {
-			s.adopt(s.submit(e))
-		}
-	}
-	for _, e := range records {
-		if e.Record.State == job.Waiting {
-			s.submit(e)
+		if j := s.jobs[e.Record.Spec.ID()]; e.Record.State != job.Waiting {
+			s.adopt(j)
 		}
 	}
 	for _, e := range records {
@@ -47,10 +46,29 @@
 	for _, e := range found {
 		s.observe(e)
 	}
+	s.step(scheduler.Event{Kind: scheduler.Tick})
 	s.opts.Log.WithField("term", s.term).WithField("jobs", len(records)).Info("dispatch: domain recovered")
 	return true
 }
 
+// load brings the text, the workers and the records to the core at once, so that it
+// decides nothing before it knows them all.
+func (s *session) load(records []ledger.Entry) {
+	now := s.opts.Texts.Now()
+	s.revision = now.Revision
+	state := scheduler.State{Options: s.opts.Core, Text: now.Text}
+	for _, w := range s.opts.Workers() {
+		s.workers[w.Node.Name] = w
+		state.Nodes = append(state.Nodes, scheduler.NodeState{Node: w.Node, Leaving: w.Leaving})
+	}
+	slices.SortStableFunc(records, func(a, b ledger.Entry) int { return cmp.Compare(a.Record.Submitted, b.Record.Submitted) })
+	for _, e := range records {
+		s.add(e)
+		state.Jobs = append(state.Jobs, scheduler.JobState{Record: e.Record, Since: e.Record.Submitted})
+	}
+	s.step(scheduler.Event{Kind: scheduler.Load, State: &state})
+}
+
 // fence shows the term to every worker and returns what runs there. The records are
 // read after that, so every gang that an older scheduler has started is among them.
 func (s *session) fence() []renewer.Event {
@@ -98,6 +116,7 @@
 				s.broken(j, e.Worker)
 			}
 		}
+		s.hush(e.Worker)
 		return
 	}
 	for _, t := range e.Tasks {
@@ -128,18 +147,32 @@
 	}
 	g := j.gang
 	s.then(j, func() {
-		for try := 0; s.ctx.Err() == nil; try++ {
-			r := g.Check(s.ctx)
-			if r.Err == nil {
-				j.ran = true
-				s.report(func() { s.ended(j, g, r) })
-				return
-			}
-			s.again(try, r.Err)
-		}
+		j.ran = true
+		r := s.collect(g)
+		s.report(func() { s.ended(j, g, r) })
 	})
 }
 
+// collect reads the results of a gang that has finished. A result that can't be
+// had within a lease is lost with its worker.
+func (s *session) collect(g *gang.Gang) gang.Result {
+	deadline := s.opts.Clock.Now() + s.opts.Times.Lease
+	for {
+		r := g.Check(s.ctx)
+		if r.Err == nil && r.Kind != scheduler.Started {
+			return r
+		}
+		if s.opts.Clock.Now() >= deadline {
+			r.Kind = scheduler.Lost
+			return r
+		}
+		clock.Sleep(s.ctx, firstPause)
+		if s.ctx.Err() != nil {
+			return r
+		}
+	}
+}
+
 // broken stops the rest of a gang that has lost a part.
 func (s *session) broken(j *live, name string) {
 	j.stopping = true
