instances: merge the list with what calls show and with hints from peers

Change: the list is watched by index and filtered by domain; a worker that refuses as leaving is leaving at once at every entry of the domain; a vanished worker is kept while it answers, without a bound while a quarter or more has vanished; dead ones go at once. The quick path shares connections by the live entries. Ruled out: one reading entry per domain that shares the list (its faults would be everybody's, and a watched list costs less than the sharing). Conclusion: readings follow changes, not entries x workers.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,12 +121,13 @@
 	mesh := e.mesh(meshParts{store: store, tokens: tokens, counters: count, clock: clk})
 	holder := config.New(config.Options{Store: store, Peers: mesh, Check: check.Text, Clock: clk, Log: e.log})
 	row := listing.New(listing.Options{Platform: store, Row: e.row(), Log: e.log})
-	directory := instances.New(instances.Options{Source: store, Domain: s.Domain, Log: e.log})
+	directory := instances.New(instances.Options{Source: store, Domain: s.Domain, Mesh: mesh, Clock: clk, Log: e.log})
 	retries := budget.New(budget.Options{Clock: clk})
 	claims := claim.New(claim.Options{Store: store, Clock: clk, Budget: retries, Counters: count})
 	sweeper := expiry.New(expiry.Options{Book: claims, Log: e.log})
 	router := quick.New(quick.Options{
 		Workers: directory, Claims: claims, Counters: count, Budget: retries, Clock: clk, Log: e.log,
+		Entries: census(mesh, s.Domain),
 		Weight: func(name string) int {
 			account, _ := holder.Now().Text.Account(name)
 			return account.Weight
--- a/entry/mesh.go
+++ b/entry/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/counters"
@@ -63,6 +64,23 @@
 	return net.JoinHostPort(host, port)
 }
 
+// census returns a function that tells the number of live entries of a failure domain.
+func census(mesh *peer.Mesh, domain string) func() int {
+	var count atomic.Int64
+	tally := func(peer.Peer) {
+		n := int64(1)
+		for _, p := range mesh.Peers() {
+			if p.Domain == domain {
+				n++
+			}
+		}
+		count.Store(n)
+	}
+	tally(peer.Peer{})
+	mesh.Watch(tally)
+	return func() int { return int(count.Load()) }
+}
+
 // line is the mesh as the scheduling of jobs uses it.
 type line struct{ *peer.Mesh }
 
--- a/instances/instances.go
+++ b/instances/instances.go
@@ -1,10 +1,16 @@
-// Package instances keeps the directory of workers of one failure domain, as the
-// platform lists them. The list lags, so a listed worker may be gone.
+// Package instances keeps the directory of the workers of one failure domain. It
+// merges the platform's list, which lags and may be wrong, with what calls to the
+// workers show and with hints from the other entries of the domain.
 //
 // # Usage
 //
-//	d := instances.New(instances.Options{Source: store, Domain: "a"})
+//	d := instances.New(instances.Options{Source: store, Domain: "a", Mesh: mesh})
 //	for _, w := range d.Workers() { ... }
+//	d.MarkLeaving("a-7") // at once, at every entry of the domain
+//
+// A list that can't be read leaves the last one in place. A worker that vanishes
+// from the list is kept for a while as long as it answers, and without a bound while
+// a large part of the list has vanished at once.
 package instances
 
 import (
@@ -15,13 +21,33 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/peer"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/worker"
 )
 
+const (
+	defaultPeriod = clock.Second
+	defaultKeep   = 30 * clock.Second
+	defaultHint   = clock.Minute
+	// listWait bounds one watch of the list, in milliseconds.
+	listWait     = 10 * clock.Second
+	probeTimeout = clock.Second
+	maxProbes    = 16
+	// deadAfter is the number of calls in a row without an answer that show a worker dead.
+	deadAfter  = 3
+	methodHint = "leaving"
+)
+
 // Source is where the list of instances comes from.
 type Source interface {
-	Instances(ctx context.Context, role string) ([]platform.Instance, error)
+	WatchInstances(ctx context.Context, role, domain string, index uint64, wait clock.Millis) ([]platform.Instance, uint64, error)
+}
+
+// Mesh carries hints between entries.
+type Mesh interface {
+	Cast(match func(peer.Peer) bool, method string, in []byte)
+	Handle(method string, f peer.Handler)
 }
 
 // Options configures a Directory.
@@ -29,18 +55,32 @@
 	Source Source
 	// Domain is the failure domain whose workers are kept.
 	Domain string
-	// Period is the time between two readings in milliseconds; 0 means 1 s.
+	// Mesh carries hints; nil means that there are none.
+	Mesh Mesh
+	// Period is the least time between two readings in milliseconds; 0 means 1 s.
 	Period clock.Millis
-	Log    *logrus.Entry
+	// Keep is how long a worker that vanished from the list is kept while it answers,
+	// in milliseconds; 0 means 30 s.
+	Keep clock.Millis
+	// Hint is how long a hint holds against a list that lags, in milliseconds; 0 means 60 s.
+	Hint clock.Millis
+	// Clock defaults to the machine's.
+	Clock *clock.Clock
+	// Log defaults to the standard logger.
+	Log *logrus.Entry
 }
 
-// Worker is a listed worker with a client of its agent.
+// Worker is a worker with a client of its agent.
 type Worker struct {
 	platform.Instance
 	Client *worker.Client
+	// Unlisted tells that the worker has vanished from the list and still answers.
+	Unlisted bool
+	// Dead tells that the last calls to the worker had no answer.
+	Dead bool
 }
 
-// Directory holds the workers as last read. It is safe for concurrent use.
+// Directory holds the workers. It is safe for concurrent use.
 type Directory struct {
 	opts      Options
 	transport http.RoundTripper
@@ -48,24 +88,45 @@
 	done      chan struct{}
 
 	mu      sync.RWMutex
+	known   map[string]*known
 	workers []*Worker
 	byName  map[string]*Worker
+	// read is when the list was last read; 0 means never.
+	read clock.Millis
 }
 
-// New returns a directory that reads the list until Stop.
+// New returns a directory that follows the list until Stop.
 func New(opts Options) *Directory {
 	if opts.Period == 0 {
-		opts.Period = clock.Second
+		opts.Period = defaultPeriod
+	}
+	if opts.Keep == 0 {
+		opts.Keep = defaultKeep
+	}
+	if opts.Hint == 0 {
+		opts.Hint = defaultHint
+	}
+	if opts.Clock == nil {
+		opts.Clock = clock.New()
+	}
+	if opts.Log == nil {
+		opts.Log = logrus.NewEntry(logrus.StandardLogger())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Directory{
-		opts: opts, cancel: cancel, done: make(chan struct{}), byName: make(map[string]*Worker),
+		opts: opts, cancel: cancel, done: make(chan struct{}),
+		known: make(map[string]*known), byName: make(map[string]*Worker),
 		transport: &http.Transport{MaxIdleConnsPerHost: 8},
 	}
+	if opts.Mesh != nil {
+		d.listen()
+	}
 	go func() {
 		defer close(d.done)
+		var index uint64
 		for {
-			d.read(ctx)
+			index = d.follow(ctx, index)
+			d.probe(ctx)
 			if !clock.Sleep(ctx, opts.Period) {
 				return
 			}
@@ -74,7 +135,7 @@
 	return d
 }
 
-// Stop ends the reading of the list.
+// Stop ends following the list.
 func (d *Directory) Stop(context.Context) error {
 	d.cancel()
 	<-d.done
@@ -96,30 +157,36 @@
 	return w, ok
 }
 
-func (d *Directory) read(ctx context.Context) {
-	list, err := d.opts.Source.Instances(ctx, platform.RoleWorker)
+// Racks returns the workers by rack.
+func (d *Directory) Racks() map[string][]*Worker {
+	racks := make(map[string][]*Worker)
+	for _, w := range d.Workers() {
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	return racks
+}
+
+// Age returns the time since the list was last read in milliseconds, and false if it
+// never was.
+func (d *Directory) Age() (clock.Millis, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.opts.Clock.Now() - d.read, d.read > 0
+}
+
+// follow reads the list, waiting for a change after index, and returns its index.
+func (d *Directory) follow(ctx context.Context, index uint64) uint64 {
+	wait := listWait
+	if d.missing() {
+		wait = 0
+	}
+	list, next, err := d.opts.Source.WatchInstances(ctx, platform.RoleWorker, d.opts.Domain, index, wait)
 	if err != nil {
 		if ctx.Err() == nil {
-			d.opts.Log.WithError(err).Warn("instances: list not read")
-		}
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	workers := make([]*Worker, 0, len(list))
-	byName := make(map[string]*Worker, len(list))
-	for _, i := range list {
-		if i.Domain != d.opts.Domain {
-			continue
-		}
-		w := &Worker{Instance: i}
-		if old, ok := d.byName[i.Name]; ok && old.Address == i.Address {
-			w.Client = old.Client
-		} else {
-			w.Client = worker.New(worker.Config{Address: i.Address, Transport: d.transport})
+			d.opts.Log.WithError(err).Warn("instances: list not read; the last one stays")
 		}
-		workers = append(workers, w)
-		byName[i.Name] = w
+		return 0
 	}
-	d.workers, d.byName = workers, byName
+	d.merge(list)
+	return next
 }
--- /dev/null
+++ b/instances/instances_test.go
@@ -0,0 +1,167 @@
+package instances_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/instances"
+	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/peer"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/worker"
+	"github.com/chestnutsail/chestnutsail/workertest"
+)
+
+const period = 10 * clock.Millisecond
+
+// list is a list of instances that the test sets.
+type list struct {
+	mu   sync.Mutex
+	rows []platform.Instance
+	err  error
+}
+
+func (l *list) set(rows []platform.Instance, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rows, l.err = rows, err
+}
+
+func (l *list) WatchInstances(context.Context, string, string, uint64, clock.Millis) ([]platform.Instance, uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rows, 0, l.err
+}
+
+// wire hands hints from one directory to another.
+type wire struct {
+	handler peer.Handler
+	other   *wire
+}
+
+func (w *wire) Cast(_ func(peer.Peer) bool, _ string, in []byte) {
+	_, _ = w.other.handler(context.Background(), "e1", in)
+}
+
+func (w *wire) Handle(_ string, f peer.Handler) { w.handler = f }
+
+var _ = Describe("the directory of workers", func() {
+	var source *list
+	var agents []*workertest.Server
+	var rows []platform.Instance
+	var servers []*httptest.Server
+	a, b := &wire{}, &wire{}
+	a.other, b.other = b, a
+
+	open := func(opts instances.Options) *instances.Directory {
+		log := logrus.New()
+		log.SetOutput(GinkgoWriter)
+		opts.Source, opts.Domain, opts.Period, opts.Log = source, "a", period, logrus.NewEntry(log)
+		d := instances.New(opts)
+		DeferCleanup(func() { _ = d.Stop(context.Background()) })
+		Eventually(d.Workers).Should(HaveLen(len(rows)))
+		return d
+	}
+	names := func(d *instances.Directory) func() []string {
+		return func() []string {
+			var list []string
+			for _, w := range d.Workers() {
+				list = append(list, w.Name)
+			}
+			return list
+		}
+	}
+
+	BeforeEach(func() {
+		source, agents, rows, servers = &list{}, nil, nil, nil
+		for i := range 8 {
+			name := fmt.Sprintf("a-%d", i)
+			agent := workertest.New(workertest.Options{Name: name, Capacity: job.Resources{Slots: 8}})
+			server := httptest.NewServer(agent)
+			DeferCleanup(server.Close)
+			agents, servers = append(agents, agent), append(servers, server)
+			rows = append(rows, platform.Instance{
+				Name: name, Address: server.Listener.Addr().String(), Domain: "a", Rack: fmt.Sprint("r", i/4),
+			})
+		}
+		source.set(rows, nil)
+	})
+
+	DescribeTable("keeps its workers when the list goes wrong", func(shown int, err error) {
+		d := open(instances.Options{Keep: 50 * clock.Millisecond})
+		source.set(rows[:shown], err)
+		Consistently(names(d)).WithTimeout(300 * time.Millisecond).Should(HaveLen(len(rows)))
+		source.set(rows, nil)
+		Eventually(func() int {
+			n := 0
+			for _, w := range d.Workers() {
+				if w.Unlisted {
+					n++
+				}
+			}
+			return n
+		}).Should(BeZero())
+	},
+		Entry("it can't be read", 8, errors.New("down")),
+		Entry("it is empty", 0, nil),
+		Entry("half of it has vanished", 4, nil),
+	)
+
+	It("tells the age of the list while it can't be read", func() {
+		d := open(instances.Options{})
+		source.set(nil, errors.New("down"))
+		Eventually(func() bool {
+			age, read := d.Age()
+			return read && age > 100*clock.Millisecond
+		}).Should(BeTrue())
+	})
+
+	It("drops a worker that vanished, after a while", func() {
+		d := open(instances.Options{Keep: 100 * clock.Millisecond})
+		source.set(rows[1:], nil)
+		Consistently(names(d)).WithTimeout(50 * time.Millisecond).Should(ContainElement("a-0"))
+		Eventually(names(d)).Should(HaveLen(7))
+	})
+
+	It("drops workers that vanished and are dead, however many", func() {
+		d := open(instances.Options{})
+		for _, s := range servers[:4] {
+			s.Close()
+		}
+		source.set(rows[4:], nil)
+		Eventually(names(d)).WithTimeout(3 * time.Second).Should(Equal([]string{"a-4", "a-5", "a-6", "a-7"}))
+	})
+
+	It("takes a worker as leaving once it refuses as leaving, at every entry of the domain", func() {
+		first, second := open(instances.Options{Mesh: a}), open(instances.Options{Mesh: b})
+		agents[3].Leave()
+		w, _ := first.Worker("a-3")
+		_, err := w.Client.Run(context.Background(), worker.Task{ID: "k", Attempt: 1, Needs: job.Resources{Slots: 1}})
+		Expect(worker.RefusalOf(err)).To(Equal(worker.Leaving))
+		for _, d := range []*instances.Directory{first, second} {
+			w, _ := d.Worker("a-3")
+			Expect(w.Leaving).To(BeTrue())
+			Consistently(func() bool { w, _ := d.Worker("a-3"); return w.Leaving }).WithTimeout(100 * time.Millisecond).Should(BeTrue())
+		}
+	})
+
+	It("forgets a hint that the list never confirms", func() {
+		d := open(instances.Options{Hint: 100 * clock.Millisecond})
+		d.MarkLeaving("a-3")
+		Eventually(func() bool { w, _ := d.Worker("a-3"); return w.Leaving }).WithTimeout(time.Second).Should(BeFalse())
+	})
+
+	It("groups workers by rack", func() {
+		d := open(instances.Options{})
+		Expect(d.Racks()).To(And(HaveLen(2), HaveKeyWithValue("r0", HaveLen(4))))
+	})
+})
--- a/platformtest/instances.go
+++ b/platformtest/instances.go
@@ -2,12 +2,19 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"net/http"
 	"sort"
+	"strconv"
+	"time"
 
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
+// listPoll is the time between two looks at the list of a waiting watch.
+const listPoll = 25 * time.Millisecond
+
 // service is an instance in the Consul HTTP API.
 type service struct {
 	ID      string
@@ -52,20 +59,48 @@
 	if !s.admit(w, false) {
 		return
 	}
-	s.mu.Lock()
-	list := s.visible()
-	if s.faults.StaleList {
-		list = s.frozen
-	}
-	s.mu.Unlock()
 	type row struct{ Service service }
-	rows := []row{}
-	for _, v := range list {
-		if v.Name == r.PathValue("role") {
-			rows = append(rows, row{v})
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("index"), 10, 64)
+	wait, _ := time.ParseDuration(q.Get("wait"))
+	for deadline := time.Now().Add(wait); ; time.Sleep(listPoll) {
+		rows := []row{}
+		for _, v := range s.list() {
+			if v.Name == r.PathValue("role") && matches(q.Get("filter"), v) {
+				rows = append(rows, row{v})
+			}
 		}
+		index := digest(rows)
+		if index == after && time.Now().Before(deadline) && r.Context().Err() == nil {
+			continue
+		}
+		w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+		answer(w, http.StatusOK, rows)
+		return
 	}
-	answer(w, http.StatusOK, rows)
+}
+
+// list returns what the list shows at this moment.
+func (s *Server) list() []service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.StaleList {
+		return s.frozen
+	}
+	return s.visible()
+}
+
+// matches applies the one filter that package platform uses.
+func matches(filter string, v service) bool {
+	return filter == "" || filter == fmt.Sprintf("Service.Meta.domain == %q", v.Meta["domain"])
+}
+
+// digest numbers the state of a list: it differs when the list does.
+func digest(rows any) uint64 {
+	raw, _ := json.Marshal(rows)
+	h := fnv.New32a()
+	_, _ = h.Write(raw)
+	return uint64(h.Sum32()) + 1
 }
 
 func (s *Server) register(w http.ResponseWriter, r *http.Request) {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -186,6 +186,8 @@
 	// Transport carries the calls; nil means a transport of its own. Clients of many
 	// workers share one.
 	Transport http.RoundTripper
+	// Observe is told how each call ended; nil means nobody is.
+	Observe func(err error)
 }
 
 // Client calls the agent of one worker. It is safe for concurrent use. Calls
@@ -193,11 +195,12 @@
 type Client struct {
 	address string
 	http    *http.Client
+	observe func(err error)
 }
 
 // New returns a client of the agent at cfg.Address.
 func New(cfg Config) *Client {
-	return &Client{address: cfg.Address, http: &http.Client{Transport: cfg.Transport}}
+	return &Client{address: cfg.Address, http: &http.Client{Transport: cfg.Transport}, observe: cfg.Observe}
 }
 
 // Run runs a quick task and waits for its end. A task that the worker already
@@ -257,6 +260,9 @@
 }
 
 func call[T any](ctx context.Context, c *Client, op, path string, in any) (out T, err error) {
+	if c.observe != nil {
+		defer func() { c.observe(err) }()
+	}
 	fail := func(sent bool, r Refusal, err error) (T, error) {
 		return out, &Error{Op: op, Address: c.address, Sent: sent, Refusal: r, Err: err}
 	}
