--- a/instances/instances.go
+++ b/instances/instances.go
@@ -188,5 +188,8 @@
 		return 0
 	}
 	d.merge(list)
+	if next < index {
+		return 0 // the platform counts anew
+	}
 	return next
 }
--- a/instances/merge.go
+++ b/instances/merge.go
@@ -32,6 +32,9 @@
 	d.read = now
 	listed := make(map[string]bool, len(list))
 	for _, row := range list {
+		if row.Domain != d.opts.Domain {
+			continue
+		}
 		listed[row.Name] = true
 		d.upsert(row)
 	}
--- a/platformtest/instances.go
+++ b/platformtest/instances.go
@@ -2,19 +2,15 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
-// listPoll is the time between two looks at the list of a waiting watch.
-const listPoll = 25 * time.Millisecond
-
 // service is an instance in the Consul HTTP API.
 type service struct {
 	ID      string
@@ -25,82 +21,96 @@
 	Meta    map[string]string
 }
 
+// listPause is how often a watch of the list looks for a change, in milliseconds.
+const listPause = 20 * clock.Millisecond
+
 // listed is a service with the change that the lagging list does not show yet.
 type listed struct {
 	old     *service
 	new     *service
 	changed clock.Millis
+	// oldIndex and newIndex number the changes of the whole list.
+	oldIndex uint64
+	newIndex uint64
 }
 
-// visible returns the list as it was before the lag. The caller holds mu.
-func (s *Server) visible() []service {
+// visible returns the list as it was before the lag, and the number of the last
+// change that it shows. The caller holds mu.
+func (s *Server) visible() ([]service, uint64) {
 	now := s.clock.Now()
 	var list []service
+	index := uint64(1)
 	for _, l := range s.services {
-		shown := l.new
+		shown, at := l.new, l.newIndex
 		if now < l.changed+s.opts.ListLag {
-			shown = l.old
+			shown, at = l.old, l.oldIndex
 		}
+		index = max(index, at)
 		if shown != nil {
 			list = append(list, *shown)
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
+	return list, index
 }
 
 func (s *Server) change(id string, next *service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.services[id] = listed{old: s.services[id].new, new: next, changed: s.clock.Now()}
+	s.listIndex++
+	old := s.services[id]
+	s.services[id] = listed{
+		old: old.new, oldIndex: old.newIndex, new: next, newIndex: s.listIndex + 1, changed: s.clock.Now(),
+	}
+}
+
+// shown returns the list that a reader sees now.
+func (s *Server) shown() ([]service, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.StaleList {
+		return s.frozen, s.frozenIndex
+	}
+	return s.visible()
 }
 
 func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w, false) {
 		return
 	}
-	type row struct{ Service service }
 	q := r.URL.Query()
-	after, _ := strconv.ParseUint(q.Get("index"), 10, 64)
+	known, _ := strconv.ParseUint(q.Get("index"), 10, 64)
 	wait, _ := time.ParseDuration(q.Get("wait"))
-	for deadline := time.Now().Add(wait); ; time.Sleep(listPoll) {
-		rows := []row{}
-		for _, v := range s.list() {
-			if v.Name == r.PathValue("role") && matches(q.Get("filter"), v) {
-				rows = append(rows, row{v})
-			}
-		}
-		index := digest(rows)
-		if index == after && time.Now().Before(deadline) && r.Context().Err() == nil {
-			continue
-		}
-		w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
-		answer(w, http.StatusOK, rows)
+	deadline := s.clock.Now() + clock.FromDuration(wait)
+	list, index := s.shown()
+	for index == known && s.clock.Now() < deadline && clock.Sleep(r.Context(), listPause) {
+		list, index = s.shown()
+	}
+	if s.isDown() {
+		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-}
-
-// list returns what the list shows at this moment.
-func (s *Server) list() []service {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.StaleList {
-		return s.frozen
+	type row struct{ Service service }
+	rows := []row{}
+	for _, v := range list {
+		if v.Name == r.PathValue("role") && matches(v, q.Get("filter")) {
+			rows = append(rows, row{v})
+		}
 	}
-	return s.visible()
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	answer(w, http.StatusOK, rows)
 }
 
-// matches applies the one filter that package platform uses.
-func matches(filter string, v service) bool {
-	return filter == "" || filter == fmt.Sprintf("Service.Meta.domain == %q", v.Meta["domain"])
+// matches knows the one filter that package platform uses.
+func matches(v service, filter string) bool {
+	domain, found := strings.CutPrefix(filter, "Service.Meta.domain == ")
+	return !found || strconv.Quote(v.Meta["domain"]) == domain
 }
 
-// digest numbers the state of a list: it differs when the list does.
-func digest(rows any) uint64 {
-	raw, _ := json.Marshal(rows)
-	h := fnv.New32a()
-	_, _ = h.Write(raw)
-	return uint64(h.Sum32()) + 1
+func (s *Server) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Down
 }
 
 func (s *Server) register(w http.ResponseWriter, r *http.Request) {
