operator: drain, instances, spread, status and trace

Cause: operators could only read and write the text; a refusal of the store was told as a faulty text (400) since config's errors have types of their own now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/config"
 	"github.com/chestnutsail/chestnutsail/counters"
+	"github.com/chestnutsail/chestnutsail/dispatch"
 	"github.com/chestnutsail/chestnutsail/drain"
 	"github.com/chestnutsail/chestnutsail/expiry"
 	"github.com/chestnutsail/chestnutsail/instances"
@@ -146,13 +147,17 @@
 	book := e.jobs(jobParts{store: store, holder: holder, directory: directory, mesh: line{mesh}, counters: count, clock: clk})
 
 	callers := caller.New(caller.Options{Quick: router, Jobs: book, Texts: holder, Tokens: tokens, Counters: count, Log: e.log})
-	operators := operator.New(operator.Options{Config: holder, Tokens: tokens})
+	scheduling, _ := kernel.Find[*dispatch.Dispatcher](e.kernel, "dispatch")
+	operators := operator.New(operator.Options{
+		Config: holder, Tokens: tokens, Mesh: mesh, Workers: directory, Platform: store,
+		Scheduler: scheduling, Leave: e.drainer.Begin, Log: e.log,
+	})
 	e.announce(mesh, row)
 	api := http.NewServeMux()
 	api.Handle("POST /v1/requests", e.drainer.Admit(callers, refuse(count)))
 	api.Handle("/v1/requests", callers)
 	api.Handle("/v1/requests/", callers)
-	api.Handle("/v1/text", operators)
+	operators.Mount(api)
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", e.drainer.Track(api))
 	mux.Handle(peer.Path, mesh)
