--- a/config/follow.go
+++ b/config/follow.go
@@ -22,7 +22,7 @@
 	maxFailed  = 8
 	// listenEvery is the time between two looks at the peers' revisions, in milliseconds.
 	listenEvery  = clock.Second
-	fetchTimeout = 2 * clock.Second
+	fetchTimeout = clock.Second
 	// methodText asks a peer for the text in force there.
 	methodText = "text"
 )
@@ -109,41 +109,56 @@
 	})
 }
 
-// listen fetches the text from a peer that has a higher revision until ctx ends.
+// listen fetches the text from a peer that has a higher revision until ctx ends. A
+// peer that did not hand it over is asked again after the others.
 func (h *Holder) listen(ctx context.Context) {
+	tried := make(map[string]bool)
 	for ctx.Err() == nil {
-		if name, ok := h.ahead(); ok {
-			if err := h.fetch(ctx, name); err != nil {
-				h.opts.Log.WithField("peer", name).WithError(err).Debug("config: text not fetched")
-				clock.Sleep(ctx, minBackoff)
+		name, ok := h.ahead(tried)
+		if ok {
+			err := h.fetch(ctx, name)
+			if err == nil {
+				clear(tried)
 				continue
 			}
+			tried[name] = true
+			h.opts.Log.WithField("peer", name).WithError(err).Debug("config: text not fetched")
+			continue
 		}
-		wait, cancel := context.WithTimeout(ctx, listenEvery.Duration())
-		select {
-		case <-h.nudge:
-		case <-wait.Done():
+		wait := listenEvery
+		if len(tried) > 0 {
+			wait = minBackoff
 		}
-		cancel()
+		clear(tried)
+		h.await(ctx, wait)
 	}
 }
 
-// ahead returns a random one of the peers with the highest revision over the own one.
-func (h *Holder) ahead() (name string, ok bool) {
-	best, count := h.Now().Revision, 0
+// await waits for news of a peer's revision, or for a span of time.
+func (h *Holder) await(ctx context.Context, d clock.Millis) {
+	ctx, cancel := context.WithTimeout(ctx, d.Duration())
+	defer cancel()
+	select {
+	case <-h.nudge:
+	case <-ctx.Done():
+	}
+}
+
+// ahead returns the peer to fetch a higher revision from, besides those tried: a
+// connected one first, then the one that was heard of last.
+func (h *Holder) ahead(tried map[string]bool) (name string, ok bool) {
+	now := h.Now().Revision
+	var best peer.Peer
 	for _, p := range h.opts.Peers.Peers() {
-		if p.Revision < best || p.Revision == h.Now().Revision {
+		if p.Revision <= now || tried[p.Name] {
 			continue
 		}
-		if p.Revision > best {
-			best, count = p.Revision, 0
-		}
-		count++
-		if rand.N(count) == 0 {
-			name = p.Name
+		closer := p.Linked && !best.Linked || p.Linked == best.Linked && p.Age < best.Age
+		if best.Name == "" || closer {
+			best = p
 		}
 	}
-	return name, count > 0
+	return best.Name, best.Name != ""
 }
 
 func (h *Holder) fetch(ctx context.Context, name string) error {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -53,6 +53,8 @@
 	Leads bool
 	Term  int64
 	Load  Load
+	// Linked tells that a connection to the entry is open.
+	Linked bool
 	// Age is the time in milliseconds since the entry was last heard of.
 	Age clock.Millis
 }
@@ -198,6 +200,7 @@
 		if m.live(v, now) {
 			p := v.Peer
 			p.Age = now - v.heard
+			p.Linked = m.links[p.Name] != nil
 			peers = append(peers, p)
 		}
 	}
--- a/peer/shake.go
+++ b/peer/shake.go
@@ -17,7 +17,9 @@
 const Path = "/mesh"
 
 const (
-	nonceHeader  = "Mesh-Nonce"
+	nonceHeader = "Mesh-Nonce"
+	// nameHeader tells who dials, for the logs of whatever stands between.
+	nameHeader   = "Mesh-Name"
 	shakeTimeout = 2 * clock.Second
 	maxNonce     = 64 // bytes
 )
@@ -123,7 +125,7 @@
 	defer cancel()
 	dialer := rand.Text()
 	d := websocket.Dialer{HandshakeTimeout: shakeTimeout.Duration()}
-	conn, resp, err := d.DialContext(ctx, "ws://"+address+Path, http.Header{nonceHeader: {dialer}})
+	conn, resp, err := d.DialContext(ctx, "ws://"+address+Path, http.Header{nonceHeader: {dialer}, nameHeader: {m.opts.Name}})
 	if resp != nil {
 		defer func() { _ = resp.Body.Close() }()
 	}
