--- a/client/requests.go
+++ b/client/requests.go
@@ -27,6 +27,9 @@
 	Deadline clock.Millis `json:"deadline_ms,omitempty"`
 	Shape    *job.Shape   `json:"shape,omitempty"`
 	Payload  []byte       `json:"payload,omitempty"`
+	// Again says that the key may have been submitted before, for example by a call
+	// that got no answer.
+	Again bool `json:"again,omitempty"`
 }
 
 // Submit sends a request and returns its outcome. It returns ErrIncomplete when
