--- a/client/client.go
+++ b/client/client.go
@@ -28,6 +28,8 @@
 	Address string
 	// Token is the bearer token for the calls to be made.
 	Token string
+	// Transport carries the calls; nil means http.DefaultTransport.
+	Transport http.RoundTripper
 }
 
 // Error is an answer of an entry that is not an outcome.
@@ -51,7 +53,7 @@
 // New returns a client.
 func New(opts Options) *Client {
 	opts.Address = strings.TrimSuffix(opts.Address, "/")
-	return &Client{opts: opts, http: &http.Client{}}
+	return &Client{opts: opts, http: &http.Client{Transport: opts.Transport}}
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
