--- a/caller/fuzz_test.go
+++ b/caller/fuzz_test.go
@@ -18,6 +18,7 @@
 		`{"service":"refund","key":"../wipe"}`,
 		`{"service":"refund","key":"r","shape":{"tasks":-9223372036854775808}}`,
 		`{"service":"refund","key":"r","declared_ms":1e400}`,
+		`{"service":"wipe","key":"w"}`, `{"service":`, ``, `{"service":"refund","key":"r","deadline_ms":-1}`,
 		`{"service":null,"key":{}}`, `null`, `[]`, `"`, `{"key":"\u0000"}`, "\xff\xfe", `{}{}`,
 	} {
 		f.Add([]byte(seed))
@@ -32,9 +33,12 @@
 		if w.Code >= http.StatusInternalServerError {
 			t.Fatalf("status %d for %q", w.Code, body)
 		}
+		if handed := len(quick.specs) + len(jobs.specs); (handed == 1) != (o.Kind == outcome.Done) {
+			t.Fatalf("%q was handed on %d times and answered %s %s", body, handed, o.Kind, o.Reason)
+		}
 		for _, p := range []*part{quick, jobs} {
 			for _, s := range p.specs {
-				if err := s.Check(); err != nil || s.Account != "kulhar" {
+				if err := s.Check(); err != nil || s.Account != "kulhar" || s.Service == "wipe" {
 					t.Fatalf("let through %+v: %v", s, err)
 				}
 			}
