ledger: check the history of a key, the fate of lost answers and grouped conflicts

Cause: the promises of the ledger had no test. Found: nothing wrong in the ledger; the first model took a refusal for want of the store, and an answer read back after a lost one, for wrong. A refusal tells only that this submission wrote nothing. Guards taken away: the memory of an unclear write (the test of a store that goes away fails), dropping only the op in conflict (the test of grouped conflicts fails).

--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,255 @@
+package ledger_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/ledger"
+	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platformtest"
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+func TestLedger(t *testing.T) { suite.Run(t, "ledger") }
+
+func newStore(opts platformtest.Options) (*platformtest.Server, func(ledger.Options) *ledger.Ledger) {
+	store := platformtest.New(opts)
+	server := httptest.NewServer(store)
+	DeferCleanup(server.Close)
+	return store, func(o ledger.Options) *ledger.Ledger {
+		o.Store = platform.New(platform.Config{Address: server.URL, Timeout: 500})
+		if o.Domain == "" {
+			o.Domain = "a"
+		}
+		l := ledger.New(o)
+		DeferCleanup(l.Stop, context.Background())
+		return l
+	}
+}
+
+func spec(key, payload string) job.Spec {
+	return job.Spec{Account: "kulhar", Service: "reconcile", Key: key, Class: job.Batch, Payload: []byte(payload)}
+}
+
+func bg() context.Context { return context.Background() }
+
+func parallelSeeds(n int, f func(seed int)) {
+	var all sync.WaitGroup
+	for seed := range n {
+		all.Go(func() {
+			defer GinkgoRecover()
+			f(seed)
+		})
+	}
+	all.Wait()
+}
+
+var _ = Describe("a job's key", func() {
+	It("is one job in the whole firm, and refuses another payload", func() {
+		_, open := newStore(platformtest.Options{})
+		a, b := open(ledger.Options{Domain: "a"}), open(ledger.Options{Domain: "b"})
+		Expect(a.Submit(bg(), spec("k", "1")).Kind).To(Equal(outcome.Accepted))
+		Expect(b.Submit(bg(), spec("k", "1")).Kind).To(Equal(outcome.Accepted))
+		Expect(b.Submit(bg(), spec("k", "2")).Reason).To(Equal(outcome.KeyReused))
+		Expect(b.Live(bg(), "b")).To(BeEmpty())
+		Expect(b.Live(bg(), "a")).To(HaveLen(1))
+		Expect(b.Ask(bg(), "perth", "k").Reason).To(Equal(outcome.UnknownKey))
+	})
+
+	It("conflicts by itself: the other records of its call are written", func() {
+		store, open := newStore(platformtest.Options{})
+		l := open(ledger.Options{Parallel: 1})
+		for i := range 20 {
+			Expect(l.Submit(bg(), spec(fmt.Sprint("k", i), "1")).Kind).To(Equal(outcome.Accepted))
+		}
+		entries, err := l.Live(bg(), "a")
+		Expect(err).NotTo(HaveOccurred())
+		entries[7].Version--
+		store.SetFaults(platformtest.Faults{Slow: 100})
+		var all sync.WaitGroup
+		for i, e := range entries {
+			all.Go(func() {
+				defer GinkgoRecover()
+				_, err := l.Write(bg(), e)
+				if i == 7 {
+					Expect(platform.KindOf(err)).To(Equal(platform.Conflict))
+				} else {
+					Expect(err).NotTo(HaveOccurred())
+				}
+			})
+		}
+		all.Wait()
+	})
+
+	It("is not called unrecorded when the write took effect and the store then went away", func() {
+		parallelSeeds(10, func(int) {
+			store, open := newStore(platformtest.Options{})
+			l := open(ledger.Options{})
+			store.SetFaults(platformtest.Faults{LoseAnswers: 1})
+			var all sync.WaitGroup
+			all.Go(func() {
+				for len(store.Keys("job/")) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				store.SetFaults(platformtest.Faults{Down: true})
+			})
+			ctx, cancel := context.WithTimeout(bg(), 300*time.Millisecond)
+			defer cancel()
+			Expect(l.Submit(ctx, spec("k", "1")).Kind).To(Equal(outcome.Unknown))
+			all.Wait()
+			store.SetFaults(platformtest.Faults{})
+			Expect(l.Submit(bg(), spec("k", "1")).Kind).To(Equal(outcome.Accepted))
+		})
+	})
+
+	It("is free again once the ended job is past its retention", func() {
+		_, open := newStore(platformtest.Options{})
+		c := clock.NewManual(clock.Hour)
+		l := open(ledger.Options{Clock: c, Retention: 10 * clock.Hour})
+		Expect(l.Submit(bg(), spec("k", "1")).Kind).To(Equal(outcome.Accepted))
+		Expect(l.Cancel(bg(), "kulhar", "k").Reason).To(Equal(outcome.Canceled))
+		c.Advance(9 * clock.Hour)
+		Expect(l.Sweep(bg(), "a")).To(Succeed())
+		Expect(l.Submit(bg(), spec("k", "1")).Reason).To(Equal(outcome.Canceled))
+		c.Advance(3 * clock.Hour)
+		Expect(l.Sweep(bg(), "a")).To(Succeed())
+		Expect(l.Submit(bg(), spec("k", "2")).Kind).To(Equal(outcome.Accepted))
+	})
+})
+
+// act is one call of a client; its output is the kind of outcome it got.
+type act struct {
+	name    string
+	payload string
+}
+
+// standing is the state of one key in the model.
+type standing struct {
+	payload  string
+	canceled bool
+}
+
+// register is what one key of the ledger must look like to its clients: accepted
+// once, never given to another payload, and never live again after its end. An
+// unknown outcome tells nothing, and the call may have taken effect or not.
+var register = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{standing{}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(standing), input.(act), output.(outcome.Outcome)
+		next := s
+		switch in.name {
+		case "submit":
+			if s.payload == "" {
+				next.payload = in.payload
+			}
+		case "cancel":
+			next.canceled = s.payload != ""
+		}
+		if out.Kind == outcome.Unknown && out.Reason != outcome.UnknownKey {
+			return []any{s, next}
+		}
+		var want outcome.Outcome
+		switch {
+		case in.name == "submit" && (out.Reason == outcome.StoreUnreachable || out.Reason == outcome.StoreOverBudget):
+			// This submission wrote nothing, whatever an earlier one did.
+			return []any{s}
+		case in.name == "submit" && next.payload != in.payload:
+			want = outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.KeyReused}
+		case s.payload == "" && in.name != "submit":
+			want = outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.UnknownKey}
+		case next.canceled:
+			want = outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.Canceled}
+		default:
+			want = outcome.Outcome{Kind: outcome.Accepted, Reason: outcome.InProgress}
+		}
+		if out.Kind != want.Kind || out.Reason != want.Reason {
+			return nil
+		}
+		return []any{next}
+	},
+}
+
+func story(history []porcupine.Operation) string {
+	var out strings.Builder
+	slices.SortFunc(history, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	for _, op := range history {
+		o := op.Output.(outcome.Outcome)
+		fmt.Fprintf(&out, "%d-%d client %d %v: %s %s\n", op.Call, op.Return, op.ClientId, op.Input, o.Kind, o.Reason)
+	}
+	return out.String()
+}
+
+var _ = Describe("the history of a key", func() {
+	DescribeTable("is linearizable under concurrent clients of several entries", func(faults platformtest.Faults) {
+		const clients, calls, seeds = 4, 10, 4
+		for seed := range uint64(seeds) {
+			store, open := newStore(platformtest.Options{})
+			ledgers := []*ledger.Ledger{open(ledger.Options{}), open(ledger.Options{Domain: "b"})}
+			store.SetFaults(faults)
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			var all sync.WaitGroup
+			begun := time.Now()
+			for c := range clients {
+				rnd := rand.New(rand.NewPCG(seed, uint64(c)))
+				all.Go(func() {
+					for range calls {
+						in := act{[]string{"submit", "ask", "ask", "cancel"}[rnd.IntN(4)], fmt.Sprint(rnd.IntN(2))}
+						l := ledgers[rnd.IntN(2)]
+						at := time.Since(begun)
+						var out outcome.Outcome
+						switch in.name {
+						case "submit":
+							out = l.Submit(bg(), spec("k", in.payload))
+						case "ask":
+							out = l.Ask(bg(), "kulhar", "k")
+						case "cancel":
+							out = l.Cancel(bg(), "kulhar", "k")
+						}
+						ret := int64(time.Since(begun))
+						if out.Kind == outcome.Unknown && out.Reason != outcome.UnknownKey {
+							ret = math.MaxInt64
+						}
+						mu.Lock()
+						if in.name == "submit" && out.Reason == outcome.Canceled {
+							// The record was written, then canceled by another, then read back.
+							written := outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.ClaimUnclear}
+							history = append(history, porcupine.Operation{
+								ClientId: c, Input: in, Call: int64(at), Output: written, Return: ret,
+							})
+							in.name = "ask"
+						}
+						history = append(history, porcupine.Operation{
+							ClientId: c, Input: in, Call: int64(at), Output: out, Return: ret,
+						})
+						mu.Unlock()
+					}
+				})
+			}
+			all.Wait()
+			ok := porcupine.CheckOperations(register.ToModel(), history)
+			Expect(ok).To(BeTrue(), func() string { return fmt.Sprintf("seed %d:\n%s", seed, story(history)) })
+		}
+	},
+		Entry("without faults", platformtest.Faults{}),
+		Entry("with answers lost after the write", platformtest.Faults{LoseAnswers: 5}),
+		Entry("with writes that land late", platformtest.Faults{LateWrites: 3, LateBy: 60}),
+		Entry("with a store that is up and down in turn", platformtest.Faults{Flap: 40}),
+	)
+})
