--- /dev/null
+++ b/ledger/burst_test.go
@@ -0,0 +1,63 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/ledger"
+	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platformtest"
+)
+
+// BenchmarkBurst submits 3,000 small jobs at once through nine entries, which share
+// 225 writes a second, to a store that takes 300 and answers in 2 ms.
+func BenchmarkBurst(b *testing.B) {
+	const entries, submissions = 9, 3000
+	for _, group := range []int{2, 16, platform.MaxOps} {
+		b.Run(fmt.Sprint("jobs-per-call=", group/2), func(b *testing.B) {
+			for b.Loop() {
+				store := platformtest.New(platformtest.Options{WritesPerSecond: 300, ReadsPerSecond: 2000})
+				store.SetFaults(platformtest.Faults{Slow: 2 * clock.Millisecond})
+				server := httptest.NewServer(store)
+				var ledgers []*ledger.Ledger
+				for range entries {
+					client := platform.New(platform.Config{Address: server.URL, Writes: 25, Reads: 180})
+					ledgers = append(ledgers, ledger.New(ledger.Options{Store: client, Domain: "a", Group: group}))
+				}
+				var accepted atomic.Int64
+				var all sync.WaitGroup
+				begun := time.Now()
+				for i := range submissions {
+					all.Go(func() {
+						o := ledgers[i%entries].Submit(context.Background(), spec(fmt.Sprint("j", i), `{"sleep_ms":1}`))
+						if o.Kind == outcome.Accepted {
+							accepted.Add(1)
+						}
+					})
+				}
+				all.Wait()
+				took := time.Since(begun)
+				writes, highest := 0, 0
+				for _, c := range store.Calls() {
+					writes += c.Writes
+					highest = max(highest, c.Writes)
+				}
+				b.ReportMetric(float64(accepted.Load()), "accepted")
+				b.ReportMetric(float64(writes), "writes")
+				b.ReportMetric(float64(highest), "writes/s-max")
+				b.ReportMetric(float64(took.Milliseconds()), "ms")
+				for _, l := range ledgers {
+					_ = l.Stop(context.Background())
+				}
+				server.Close()
+			}
+		})
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -17,6 +17,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 
 	"github.com/sirupsen/logrus"
 
@@ -243,7 +244,13 @@
 	return outcome.Outcome{Kind: outcome.Accepted, Reason: outcome.InProgress, Account: account, Key: key, Retry: retryAfter}
 }
 
-func refusal(error) outcome.Reason { return outcome.StoreUnreachable }
+// refusal tells a store that was not called from one that could not be.
+func refusal(err error) outcome.Reason {
+	if errors.Is(err, platform.ErrOverBudget) {
+		return outcome.StoreOverBudget
+	}
+	return outcome.StoreUnreachable
+}
 
 // hash tells a repeated request from another one under the same key.
 func hash(s job.Spec) string {
