--- a/instances/instances.go
+++ b/instances/instances.go
@@ -31,7 +31,7 @@
 	Domain string
 	// Period is the least time between two readings in milliseconds; 0 means 1 s.
 	Period clock.Millis
-	// Wait is how long a reading waits for a change in milliseconds; 0 means 1 min.
+	// Wait is how long a reading waits for a change in milliseconds; 0 means 5 min.
 	Wait clock.Millis
 	Log  *logrus.Entry
 }
@@ -60,7 +60,7 @@
 		opts.Period = clock.Second
 	}
 	if opts.Wait == 0 {
-		opts.Wait = clock.Minute
+		opts.Wait = 5 * clock.Minute
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Directory{
