--- a/caller/caller.go
+++ b/caller/caller.go
@@ -29,7 +29,7 @@
 
 const maxBody = 256 << 10 // bytes
 
-var errTrailing = errors.New("something follows the request; send one JSON object")
+var errTrailing = errors.New("there is more after the request")
 
 // Submitter runs or accepts requests of one kind.
 type Submitter interface {
@@ -75,6 +75,8 @@
 	Deadline int64      `json:"deadline_ms"`
 	Shape    *job.Shape `json:"shape"`
 	Payload  []byte     `json:"payload"`
+	// Again is as in job.Spec.
+	Again bool `json:"again"`
 }
 
 type accountKey struct{}
@@ -105,36 +107,44 @@
 }
 
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
-	var in request
-	if err := decode(http.MaxBytesReader(w, r.Body, maxBody), &in); err != nil {
+	in, err := decode(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
 		reason := outcome.BadRequest
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			reason = outcome.TooLarge
 		}
-		h.answer(w, outcome.Refuse(in.Key, reason, 0, err.Error()))
+		h.answer(w, outcome.Refuse("", reason, 0, err.Error()))
 		return
 	}
 	account, _ := r.Context().Value(accountKey{}).(string)
 	s, refused := h.spec(account, in)
 	if refused != nil {
+		if in.Again && job.IsName(in.Key) {
+			if o := h.known(r.Context(), account, in.Key); o.Reason != outcome.UnknownKey {
+				refused = &o
+			}
+		}
 		h.answer(w, *refused)
 		return
 	}
 	h.answer(w, h.route(r.Context(), s))
 }
 
-// decode reads exactly one JSON value without unknown fields.
-func decode(r io.Reader, in *request) error {
-	body := json.NewDecoder(r)
-	body.DisallowUnknownFields()
-	if err := body.Decode(in); err != nil {
-		return err
+// decode reads one JSON object with known fields only and nothing after it.
+func decode(body io.Reader) (in request, err error) {
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&in); err != nil {
+		return in, err
 	}
-	if _, err := body.Token(); !errors.Is(err, io.EOF) {
-		return errTrailing
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		if err == nil {
+			err = errTrailing
+		}
+		return in, err
 	}
-	return nil
+	return in, nil
 }
 
 // spec completes a request from the text in force and checks it.
@@ -157,6 +167,7 @@
 	}
 	s := service.Spec(in.Key, in.Payload)
 	s.Declared, s.Deadline = millis(in.Declared), millis(in.Deadline)
+	s.Again = in.Again
 	if in.Class != "" {
 		s.Class = in.Class
 	}
@@ -174,6 +185,9 @@
 		h.opts.Counters.Refused(o.Reason)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if o.Retry > 0 {
+		w.Header().Set("Retry-After", retryAfter(o.Retry))
+	}
 	w.WriteHeader(Status(o))
 	if err := json.NewEncoder(w).Encode(o); err != nil {
 		h.opts.Log.WithError(err).Debug("caller: answer not delivered")
--- a/workertest/workertest.go
+++ b/workertest/workertest.go
@@ -65,8 +65,9 @@
 	Attempt int          `json:"attempt"`
 	Tasks   int          `json:"tasks"`
 	Start   clock.Millis `json:"start"`
-	// End is 0 while the task runs.
-	End clock.Millis `json:"end"`
+	// End is 0 while the task runs, State tells how it ended.
+	End   clock.Millis `json:"end"`
+	State worker.State `json:"state,omitempty"`
 }
 
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
@@ -99,6 +100,8 @@
 	change uint64
 	done   chan struct{}
 	timer  *time.Timer
+	// released means that only the fence of the attempt is left.
+	released bool
 }
 
 // New returns a worker with all its capacity free.
@@ -166,7 +169,9 @@
 	defer s.mu.Unlock()
 	r := worker.Report{Name: s.opts.Name, Incarnation: s.incarnation, Free: s.free, Leaving: s.leaving, Tasks: []worker.Task{}}
 	for _, t := range s.tasks {
-		r.Tasks = append(r.Tasks, s.shown(t))
+		if !t.released {
+			r.Tasks = append(r.Tasks, s.shown(t))
+		}
 	}
 	return r
 }
