--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -105,6 +105,7 @@
 			Expect(w.Code).To(Equal(status), o.Detail)
 			Expect(o.Kind).To(Equal(outcome.NotRun))
 			Expect(o.Reason).To(Equal(reason))
+			Expect(len(o.Detail)+len(o.Key)).To(BeNumerically("<", 512), "the refusal repeats the input")
 			Expect(quick.specs).To(BeEmpty())
 			Expect(jobs.specs).To(BeEmpty())
 		},
@@ -115,6 +116,9 @@
 		Entry("an unknown field", "kulhar", `{"service":"refund","key":"r-1","account":"perth"}`, 400, outcome.BadRequest),
 		Entry("an oversized body", "kulhar", `{"service":"refund","key":"`+strings.Repeat("x", 300<<10)+`"}`, 413, outcome.TooLarge),
 		Entry("an oversized payload", "kulhar", `{"service":"refund","key":"r","payload":"`+strings.Repeat("QUJD", 25<<10)+`"}`, 400, outcome.BadRequest),
+		Entry("a long service", "kulhar", `{"service":"`+strings.Repeat("x", 200<<10)+`","key":"r"}`, 400, outcome.BadRequest),
+		Entry("a long key", "kulhar", `{"service":"refund","key":"`+strings.Repeat("x", 200<<10)+`"}`, 400, outcome.BadRequest),
+		Entry("more accelerators than a task may have", "kulhar", `{"service":"refund","key":"r","shape":{"accels":65}}`, 400, outcome.BadRequest),
 		Entry("no key", "kulhar", `{"service":"refund"}`, 400, outcome.BadRequest),
 		Entry("a key that walks up the path", "kulhar", `{"service":"refund","key":"../x"}`, 400, outcome.BadRequest),
 		Entry("an unknown class", "kulhar", `{"service":"refund","key":"r","class":"first"}`, 400, outcome.BadRequest),
