--- a/demo/system.go
+++ b/demo/system.go
@@ -78,7 +78,7 @@
 				return err
 			}
 			s.workers = append(s.workers, w)
-			if err := platformtest.Register(ctx, s.store, platform.RoleWorker, row); err != nil {
+			if err := platform.New(platform.Config{Address: s.store}).Register(ctx, platform.RoleWorker, row); err != nil {
 				return err
 			}
 		}
--- a/instances/watch_test.go
+++ b/instances/watch_test.go
@@ -23,7 +23,7 @@
 	register := func(name, domain string) {
 		GinkgoHelper()
 		row := platform.Instance{Name: name, Domain: domain, Address: "127.0.0.1:1"}
-		Expect(platformtest.Register(context.Background(), server.URL, platform.RoleWorker, row)).To(Succeed())
+		Expect(platform.New(platform.Config{Address: server.URL}).Register(context.Background(), platform.RoleWorker, row)).To(Succeed())
 	}
 	names := func() []string {
 		var list []string
