--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -131,6 +131,14 @@
 	return o, err
 }
 
+// done returns an error unless a request was done.
+func done(o outcome.Outcome, err error) error {
+	if err == nil && o.Kind != outcome.Done {
+		err = fmt.Errorf("%+v", o)
+	}
+	return err
+}
+
 // revision returns the revision in force at the entry.
 func (e *entryProcess) revision() uint64 {
 	_, header, _, err := e.call(token.Operator, "anna", http.MethodGet, "/v1/text", "", nil)
@@ -230,7 +238,7 @@
 
 // load sends requests through the balancer until stop is closed, and returns how many
 // were done and what went wrong.
-func (b *balancer) load(clients int, stop <-chan struct{}) (done int, wrong []string) {
+func (b *balancer) load(clients int, stop <-chan struct{}) (count int, wrong []string) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	for c := range clients {
@@ -245,8 +253,8 @@
 				e := b.pick()
 				o, err := e.submit(service, fmt.Sprintf("%s-%d-%d", service, c, n))
 				mu.Lock()
-				if err == nil && o.Kind == outcome.Done && o.Whole() {
-					done++
+				if done(o, err) == nil && o.Whole() {
+					count++
 				} else {
 					wrong = append(wrong, fmt.Sprintf("%s at %s: %v %+v", service, e.name, err, o))
 				}
@@ -255,5 +263,5 @@
 		})
 	}
 	group.Wait()
-	return done, wrong
+	return count, wrong
 }
--- a/e2e/members_test.go
+++ b/e2e/members_test.go
@@ -23,13 +23,14 @@
 	linger = "3s"
 )
 
-// watcher follows the revision at an entry and notes any that went back.
+// watcher holds the revisions that were seen at an entry.
 type watcher struct {
 	mu   sync.Mutex
 	seen []uint64
 }
 
-func watch(e *entryProcess) *watcher {
+// watch expects that the revision at an entry only grows until the spec ends.
+func watch(e *entryProcess) {
 	w := &watcher{}
 	stop := make(chan struct{})
 	DeferCleanup(func() {
@@ -55,7 +56,6 @@
 			}
 		}
 	}()
-	return w
 }
 
 func inForceAt(revision uint64, entries ...*entryProcess) {
@@ -81,18 +81,15 @@
 			eventually(e.ready)
 		}
 		eventually(func() error {
-			if o, err := old[2].submit("check", "first"); err != nil || o.Kind != outcome.Done {
-				return fmt.Errorf("%v %+v", err, o)
-			}
-			return nil
+			return done(old[2].submit("check", "first"))
 		})
 		time.Sleep(2 * lag)
 
 		stop := make(chan struct{})
-		var done int
+		var count int
 		var wrong []string
 		var loading sync.WaitGroup
-		loading.Go(func() { done, wrong = b.load(6, stop) })
+		loading.Go(func() { count, wrong = b.load(6, stop) })
 		for i, e := range old {
 			next := f.enter(fmt.Sprint("n", i), "a", "--linger", linger)
 			eventually(next.ready)
@@ -106,8 +103,8 @@
 		close(stop)
 		loading.Wait()
 		Expect(wrong).To(BeEmpty())
-		Expect(done).To(BeNumerically(">", 100))
-		GinkgoWriter.Printf("requests done: %d\n", done)
+		Expect(count).To(BeNumerically(">", 100))
+		GinkgoWriter.Printf("requests done: %d\n", count)
 		expectOnce(journal(work))
 	})
 
@@ -220,11 +217,7 @@
 		for _, e := range []*entryProcess{a, b, c} {
 			watch(e)
 			eventually(func() error {
-				o, err := e.submit("check", "first-"+e.name)
-				if err != nil || o.Kind != outcome.Done {
-					return fmt.Errorf("%v %+v", err, o)
-				}
-				return nil
+				return done(e.submit("check", "first-"+e.name))
 			})
 		}
 	})
@@ -283,11 +276,7 @@
 		inForceAt(second, a, b, c)
 		serves(b, "after")
 		eventually(func() error {
-			o, err := b.submit("refund", "r-after")
-			if err != nil || o.Kind != outcome.Done {
-				return fmt.Errorf("%v %+v", err, o)
-			}
-			return nil
+			return done(b.submit("refund", "r-after"))
 		})
 		for _, address := range f.workers {
 			expectOnce(journal(address))
