--- a/scheduler/jobs.go
+++ b/scheduler/jobs.go
@@ -14,11 +14,8 @@
 	if c.works[id] != nil || r.State.Ended() {
 		return
 	}
-	if r.State == job.Waiting && r.Attempt == 0 {
-		if reason, ok := c.admit(&r.Spec); !ok {
-			c.emit(Action{Kind: End, ID: id, State: job.Failed, Reason: reason})
-			return
-		}
+	if c.turnedAway(&r) {
+		return
 	}
 	if r.Submitted == 0 {
 		r.Submitted = c.now
@@ -31,11 +28,24 @@
 	c.adopt(w)
 }
 
+// turnedAway ends a job that was never placed and can never run, and reports
+// whether it did.
+func (c *Core) turnedAway(r *job.Record) bool {
+	if r.State != job.Waiting || r.Attempt > 0 {
+		return false
+	}
+	reason, ok := c.admit(&r.Spec)
+	if !ok {
+		c.emit(Action{Kind: End, ID: r.Spec.ID(), State: job.Failed, Reason: reason})
+	}
+	return !ok
+}
+
 // know makes a work of the record, in no queue and on no worker.
 func (c *Core) know(r job.Record) *work {
 	r.Spec.Payload, r.Outcome.Body = nil, nil
 	c.seq++
-	w := &work{rec: r, id: r.Spec.ID(), seq: c.seq, since: c.now, acct: c.account(r.Spec.Account), class: c.classOf(r.Spec)}
+	w := &work{rec: r, id: r.Spec.ID(), seq: c.seq, since: c.now, acct: c.account(r.Spec.Account), class: c.classOf(r.Spec, queue.Normal)}
 	c.works[w.id] = w
 	return w
 }
@@ -44,7 +54,8 @@
 	s := w.spec()
 	expected := c.history.Expect(s.Account, s.Service, s.Declared)
 	w.rec.State, w.rec.Members = job.Waiting, nil
-	w.rank = queue.Rank{Urgent: w.urgent(), At: queue.At(s.Class, w.rec.Submitted, expected, w.attained), Seq: w.seq}
+	w.rank = queue.Rank{Tier: queue.TierOf(s.Class, expected), At: queue.At(s.Class, w.rec.Submitted, expected, w.attained), Seq: w.seq}
+	w.class = c.classOf(w.rec.Spec, w.rank.Tier)
 	w.acct.queue.Add(w, w.rank)
 	w.queued = true
 	c.demand.Add(w.class.size, 1)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -141,6 +141,9 @@
 		if c.works[j.Record.Spec.ID()] != nil || j.Record.State.Ended() {
 			continue
 		}
+		if j.Seq == 0 && c.turnedAway(&j.Record) {
+			continue
+		}
 		w := c.loadJob(j)
 		if w.rec.State != job.Waiting && len(w.parts) == 0 {
 			found = append(found, w)
@@ -194,6 +197,7 @@
 		if j.Rank != (queue.Rank{}) {
 			c.dequeue(w)
 			w.rank, w.queued = j.Rank, true
+			w.class = c.classOf(w.rec.Spec, w.rank.Tier)
 			w.acct.queue.Add(w, w.rank)
 			c.demand.Add(w.class.size, 1)
 		}
