dispatch: give the account of the tests a guarantee

Change: the account of the tests holds all workers; an entry keeps to 25 writes and 180 reads a second.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -24,7 +24,7 @@
 // parallel runs f for 0 to n-1, some at a time.
 func parallel(n int, f func(i int)) {
 	GinkgoHelper()
-	slots := make(chan struct{}, 24)
+	slots := make(chan struct{}, 64)
 	var all sync.WaitGroup
 	for i := range n {
 		slots <- struct{}{}
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -228,7 +228,7 @@
 func (e *entry) Now() config.Snapshot {
 	return config.Snapshot{Revision: 1, Text: &text.Text{
 		Fleet:    []text.Pool{{Domain: "a", Racks: 1, Workers: len(e.agents), Accels: 8, Slots: 8}},
-		Accounts: []text.Account{{Name: "kulhar"}},
+		Accounts: []text.Account{{Name: "kulhar", Guarantee: []text.Guarantee{{Accels: 8, Count: len(e.agents)}}}},
 	}}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,7 +33,12 @@
 	"github.com/chestnutsail/chestnutsail/token"
 )
 
-const readHeaderTimeout = 5 * clock.Second
+const (
+	readHeaderTimeout = 5 * clock.Second
+	// storeWrites and storeReads are one entry's share of the store's rate, in calls a second.
+	storeWrites = 25
+	storeReads  = 180
+)
 
 // Options configures an Entry.
 type Options struct {
@@ -99,7 +104,7 @@
 	clk := clock.New()
 	count := counters.New()
 	tokens := token.New(s.Secret, s.Previous)
-	store := platform.New(platform.Config{Address: s.Store})
+	store := platform.New(platform.Config{Address: s.Store, Writes: storeWrites, Reads: storeReads, Clock: clk})
 	holder := config.New(config.Options{Store: store, Log: e.log})
 	directory := instances.New(instances.Options{Source: store, Domain: s.Domain, Log: e.log})
 	retries := budget.New(budget.Options{Clock: clk})
