--- a/cmd/chestnutsail/main.go
+++ b/cmd/chestnutsail/main.go
@@ -40,7 +40,7 @@
 		&entryCommand{},
 		&checkCommand{}, &getCommand{}, &diffCommand{}, &applyCommand{},
 		&submitCommand{}, &waitCommand{}, &cancelCommand{},
-		&traceCommand{}, &replayCommand{},
+		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{},
 		&tokenCommand{}, &completionCommand{}, &versionCommand{},
 	}
 }
--- a/cmd/chestnutsail/output.go
+++ b/cmd/chestnutsail/output.go
@@ -39,7 +39,7 @@
 	case http.StatusUnauthorized:
 		fmt.Fprintf(os.Stderr, "chestnutsail: %s\nMake a token with 'chestnutsail token operator NAME' and pass it as --token.\n", e.Message)
 		return exitRefused
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		return fail(exitBadInput, err)
 	case http.StatusPreconditionFailed:
 		return fail(exitConflict, err)
@@ -98,7 +98,7 @@
 	if o.Key != "" {
 		s = o.Key + ": " + s
 	}
-	if o.Reason != "" {
+	if o.Reason != "" && o.Kind != outcome.Accepted {
 		s += ": " + string(o.Reason)
 	}
 	if o.Detail != "" {
@@ -107,15 +107,15 @@
 	if o.Worker != "" {
 		s += fmt.Sprintf(" (%s, attempt %d)", o.Worker, o.Attempt)
 	}
+	if o.Kind == outcome.Accepted {
+		return s + "\nNext: chestnutsail wait " + o.Key
+	}
 	if next := advice.For(o.Reason); next != "" {
 		s += "\nNext: " + next
 		if o.Retry > 0 {
 			s += fmt.Sprintf(" (after %s)", o.Retry)
 		}
 	}
-	if o.Kind == outcome.Accepted {
-		s += "\nNext: chestnutsail wait " + o.Key
-	}
 	return s
 }
 
--- a/cmd/chestnutsail/requests.go
+++ b/cmd/chestnutsail/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -32,7 +33,7 @@
 	c := clock.New()
 	began, last := c.Now(), ""
 	o, err := cl.Wait(ctx, key, func(o outcome.Outcome, err error) {
-		state := string(o.Kind) + " " + o.Detail
+		state := strings.TrimSpace(string(o.Kind) + " " + o.Detail)
 		if err != nil {
 			state = err.Error()
 		}
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -51,6 +51,8 @@
 		Entry("0 for a good text", 0, "ok", "check", "../examples/perth.yaml", "../examples/lahore.yaml"),
 		Entry("0 for what ran", 0, `"outcome": "done"`, "submit", "--token", "CALLER", "refund", "c-1", "--payload", "1"),
 		Entry("0 for the text in force", 0, "firm: small", "get", "--token", "OPERATOR"),
+		Entry("0 for a text in force everywhere", 0, "in force at 1 of 1 entries", "apply", "--wait", "--token", "OPERATOR", "../examples/small.yaml"),
+		Entry("0 for the status of accounts", 0, "GUARANTEE", "status", "--workers", "--token", "OPERATOR"),
 		Entry("0 for a text without changes", 0, "", "diff", "--token", "OPERATOR", "../examples/small.yaml"),
 		Entry("1 for work that failed", 1, `"outcome": "failed"`, "submit", "--token", "CALLER", "check", "c-2", "--payload", `{"fail":true}`),
 		Entry("1 for a text with changes", 1, "+ firm: perth", "diff", "--token", "OPERATOR", "../examples/perth.yaml"),
@@ -58,6 +60,7 @@
 		Entry("2 for settings, all at once", 2, "--domain (CHESTNUTSAIL_DOMAIN)", "entry", "--log", "xml"),
 		Entry("2 for an unknown service", 2, "unknown_service", "submit", "--token", "CALLER", "nothing", "c-3"),
 		Entry("2 for a key that is no name", 2, "bad_request", "submit", "--token", "CALLER", "refund", "a key"),
+		Entry("2 for a worker that nobody knows", 2, "no worker is called z-9", "drain", "--token", "OPERATOR", "worker", "z-9"),
 		Entry("3 for a token that is wrong", 3, "unauthorized", "submit", "--token", "nobody.00", "refund", "c-4"),
 		Entry("3 for an operator's call with a caller's token", 3, "chestnutsail token operator", "get", "--token", "CALLER"),
 		Entry("4 for an entry that does not answer", 4, "--address", "get", "--address", "http://127.0.0.1:1", "--token", "OPERATOR"),
@@ -83,6 +86,22 @@
 		}
 	})
 
+	It("records a trace that replays to the same decisions, and tells one that doesn't", func() {
+		out, code := command(env, "submit", "--token", caller, "reconcile", "t-1")
+		Expect(code).To(Equal(0), out)
+		out, code = command(env, "trace", "--token", operator)
+		Expect(code).To(Equal(0), out)
+		Expect(out).To(ContainSubstring("t-1"))
+		again, code := command(nil, "replay", file("good.trace", out+"\n"))
+		Expect(code).To(Equal(0), again)
+		Expect(again).To(ContainSubstring("all the same"))
+		lines := strings.Split(out, "\n")
+		lines[len(lines)-1] = strings.TrimSuffix(lines[len(lines)-1], "}") + `,"actions":[{"kind":"place","id":"kulhar/ghost"}]}`
+		again, code = command(nil, "replay", file("bad.trace", strings.Join(lines, "\n")+"\n"))
+		Expect(code).To(Equal(1), again)
+		Expect(again).To(ContainSubstring("actions differ"))
+	})
+
 	It("completes its commands", func() {
 		out, code := command(nil, "--completion-bash", "")
 		Expect(code).To(Equal(0))
