--- a/cmd/chestnutsail/main.go
+++ b/cmd/chestnutsail/main.go
@@ -39,7 +39,7 @@
 		&demoCommand{},
 		&entryCommand{},
 		&checkCommand{}, &getCommand{}, &diffCommand{}, &applyCommand{},
-		&submitCommand{}, &waitCommand{}, &cancelCommand{},
+		&submitCommand{}, &waitCommand{}, &cancelCommand{}, &loadCommand{},
 		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{},
 		&tokenCommand{}, &completionCommand{}, &versionCommand{},
 	}
