--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -37,6 +38,12 @@
 		out, code := command(env, "apply", "--token", operator, "../examples/small.yaml")
 		Expect(code).To(Equal(0), out)
 		eventually(answers("http://" + entry + "/ready"))
+		eventually(func() error {
+			if out, code := command(env, "status", "--token", operator); code != 0 {
+				return errors.New(out)
+			}
+			return nil
+		})
 	})
 
 	DescribeTable("exits with the code of what happened and says what to do next",
