--- a/caller/status.go
+++ b/caller/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/outcome"
@@ -15,6 +16,7 @@
 	outcome.UnknownService:  http.StatusNotFound,
 	outcome.KeyReused:       http.StatusConflict,
 	outcome.ImpossibleShape: http.StatusUnprocessableEntity,
+	outcome.NoGuarantee:     http.StatusUnprocessableEntity,
 	outcome.OverQuota:       http.StatusUnprocessableEntity,
 	outcome.QueueFull:       http.StatusTooManyRequests,
 	outcome.WorkersBusy:     http.StatusTooManyRequests,
@@ -39,4 +41,9 @@
 	return http.StatusServiceUnavailable
 }
 
+// retryAfter returns a wait in the whole seconds of the Retry-After header, rounded up.
+func retryAfter(wait clock.Millis) string {
+	return strconv.FormatInt(int64((wait+clock.Second-1)/clock.Second), 10)
+}
+
 func millis(v int64) clock.Millis { return clock.Millis(v) }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -53,12 +53,14 @@
 	Leads bool
 	Term  int64
 	Load  Load
+	// Linked tells that a connection to the entry is open.
+	Linked bool
 	// Age is the time in milliseconds since the entry was last heard of.
 	Age clock.Millis
 }
 
 // Handler answers a call of another entry. The context ends at the caller's deadline.
-type Handler func(ctx context.Context, from string, in []byte) ([]byte, error)
+type Handler = func(ctx context.Context, from string, in []byte) ([]byte, error)
 
 // Seed is an address at which an entry may be found.
 type Seed struct {
@@ -198,6 +200,7 @@
 		if m.live(v, now) {
 			p := v.Peer
 			p.Age = now - v.heard
+			p.Linked = m.links[p.Name] != nil
 			peers = append(peers, p)
 		}
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -88,7 +88,8 @@
 	// Incarnation names the process of the worker. A call that carries one is refused
 	// as Replaced by any other process; "" reaches whichever runs.
 	Incarnation string `json:"incarnation,omitempty"`
-	// Keep asks the worker to keep a quick task after its end until Release.
+	// Keep asks the worker to keep a quick task after its end until Release, and to fence
+	// an attempt that it refuses.
 	Keep bool `json:"keep,omitempty"`
 
 	// State, Ran, Result, Hash and Used are filled in by the worker.
@@ -132,6 +133,8 @@
 	Incarnation string        `json:"incarnation"`
 	Free        job.Resources `json:"free"`
 	Leaving     bool          `json:"leaving,omitempty"`
+	// Term is the highest term that the agent has seen.
+	Term int64 `json:"term,omitempty"`
 	// Change counts the changes of gang tasks since the agent started.
 	Change uint64 `json:"change,omitempty"`
 	Tasks  []Task `json:"tasks,omitempty"`
@@ -168,6 +171,9 @@
 	return ""
 }
 
+// Answered reports whether err shows an answer of the agent, or is nil.
+func Answered(err error) bool { return err == nil || RefusalOf(err) != "" }
+
 // NotSent reports whether err shows that the call had no effect: it never
 // reached the agent, or the agent refused it.
 func NotSent(err error) bool {
@@ -182,6 +188,8 @@
 	// Transport carries the calls; nil means a transport of its own. Clients of many
 	// workers share one.
 	Transport http.RoundTripper
+	// Observe is told how each call ended; nil means nobody is.
+	Observe func(err error)
 }
 
 // Client calls the agent of one worker. It is safe for concurrent use. Calls
@@ -189,11 +197,12 @@
 type Client struct {
 	address string
 	http    *http.Client
+	observe func(err error)
 }
 
 // New returns a client of the agent at cfg.Address.
 func New(cfg Config) *Client {
-	return &Client{address: cfg.Address, http: &http.Client{Transport: cfg.Transport}}
+	return &Client{address: cfg.Address, http: &http.Client{Transport: cfg.Transport}, observe: cfg.Observe}
 }
 
 // Run runs a quick task and waits for its end. A task that the worker already
@@ -231,7 +240,8 @@
 	return call[Report](ctx, c, "renew", "/v1/renew", r)
 }
 
-// Release forgets the result of an ended task.
+// Release forgets the result of an ended task. Its attempt stays fenced, for at
+// least an hour, so that a delayed copy of a call can't run it again.
 func (c *Client) Release(ctx context.Context, id string, attempt int) error {
 	_, err := call[Task](ctx, c, "release", "/v1/release", Task{ID: id, Attempt: attempt})
 	return err
@@ -252,6 +262,9 @@
 }
 
 func call[T any](ctx context.Context, c *Client, op, path string, in any) (out T, err error) {
+	if c.observe != nil {
+		defer func() { c.observe(err) }()
+	}
 	fail := func(sent bool, r Refusal, err error) (T, error) {
 		return out, &Error{Op: op, Address: c.address, Sent: sent, Refusal: r, Err: err}
 	}
--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -40,6 +40,9 @@
 		return t, ""
 	}
 	if no := s.admit(in); no != "" {
+		if in.Keep {
+			s.forbid(in.ID, in.Attempt)
+		}
 		return nil, no
 	}
 	t = s.add(in, worker.Running)
@@ -189,9 +192,9 @@
 	if since > s.change {
 		since = 0
 	}
-	r := worker.Report{Free: s.free, Leaving: s.leaving, Change: s.change}
+	r := worker.Report{Free: s.free, Leaving: s.leaving, Term: s.term, Change: s.change}
 	for _, t := range s.tasks {
-		if t.Term > 0 && t.change > since {
+		if t.Term > 0 && t.change > since && !t.released {
 			out := s.shown(t)
 			out.Payload, out.Result = nil, nil
 			r.Tasks = append(r.Tasks, out)
@@ -211,15 +214,17 @@
 	s.changed = make(chan struct{})
 }
 
-// release forgets an ended task.
+// release forgets the result of an ended task. Its attempt stays fenced, so that a
+// delayed copy of a call can't run it again.
 func (s *Server) release(in worker.Task) (worker.Task, worker.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tasks[in.ID]
-	if !ok || t.Attempt != in.Attempt || t.State.Holds() {
+	if !ok || t.released || t.Attempt != in.Attempt || t.State.Holds() {
 		return worker.Task{}, worker.Absent
 	}
-	delete(s.tasks, in.ID)
+	t.released = true
+	t.State, t.Payload, t.Result = worker.Stopped, nil, nil
 	return t.Task, ""
 }
 
@@ -227,7 +232,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tasks[id]
-	if !ok {
+	if !ok || t.released {
 		return worker.Task{}, worker.Absent
 	}
 	return s.shown(t), ""
@@ -306,7 +311,7 @@
 	s.touch(t)
 	s.free = s.free.Add(t.Needs)
 	if t.entry >= 0 {
-		s.journal[t.entry].End = s.opts.Clock.Now()
+		s.journal[t.entry].End, s.journal[t.entry].State = s.opts.Clock.Now(), state
 	}
 	if t.timer != nil {
 		t.timer.Stop()
