--- a/scheduler/promise_test.go
+++ b/scheduler/promise_test.go
@@ -174,7 +174,7 @@
 			b.now += 10 * clock.Second
 			small()
 			b.do(scheduler.Event{Kind: scheduler.Tick})
-			b.settle(5)
+			b.settle(1)
 		}
 	})
 })
@@ -209,8 +209,8 @@
 	Entry("more accelerators than a worker has", spec("a", "x", 5, 1), outcome.ImpossibleShape),
 	Entry("more tasks than a rack holds", with(spec("a", "x", accels, 5), func(s *job.Spec) { s.Shape.Adjacent = job.Rack }), outcome.ImpossibleShape),
 	Entry("more than the quota", spec("c", "x", 3, 3), outcome.OverQuota),
-	Entry("cannot be stopped and exceeds the guarantee", with(spec("b", "x", accels, 3), fixed), outcome.OverQuota),
-	Entry("cannot be stopped and has no guarantee", with(spec("c", "x", 1, 1), fixed), outcome.OverQuota),
+	Entry("cannot be stopped and exceeds the guarantee", with(spec("b", "x", accels, 3), fixed), outcome.NoGuarantee),
+	Entry("cannot be stopped and has no guarantee", with(spec("c", "x", 1, 1), fixed), outcome.NoGuarantee),
 	Entry("can be stopped and borrows", spec("c", "x", 2, 2), outcome.Reason("")),
 	Entry("needs no accelerators and cannot be stopped", with(spec("c", "x", 0, 1), func(s *job.Spec) { fixed(s); s.Shape.Cores = 4 }), outcome.Reason("")),
 )
