reconcile: keep the services of the text running

Cause: services with replicas were accepted and never started. Change: a pure plan (start in order, gated on readiness, roll one at a time, stop in reverse), run by the leading entry of a domain through the ledger; what was placed last stands in the store before the job is submitted, and the job's key follows from it. Whether a placed replica runs is asked of its workers. Ruled out: counting generations by asking for keys until one is unknown (ended records expire); the record's state alone (it stays placed while the gang runs, and a dependent service never started: seen in e2e). Found on the way: the first plan started a service beside the roll of one that it depends on (rapid, after 3 tests); stops now count before starts.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -51,7 +52,7 @@
 // work starts workers of a failure domain, which are called like "a-1", on ports that
 // follow each other, and returns the address of the first.
 func (f *fleet) work(domain string, count int) string {
-	address := freeAddress()
+	address := freeRange(count)
 	start("standin", "worker", "--store", "http://"+f.store, "--listen", address, "--domain", domain,
 		"--count", strconv.Itoa(count))
 	eventually(answers("http://" + address + "/v1/report"))
@@ -77,6 +78,32 @@
 	return e
 }
 
+// freeRange returns the first of some loopback addresses, on ports that follow each
+// other, that nothing listens on.
+func freeRange(count int) string {
+	for {
+		address, free := freeAddress(), true
+		for next, i := address, 0; i < count && free; next, i = after(next), i+1 {
+			l, err := net.Listen("tcp", next)
+			if free = err == nil; free {
+				defer l.Close()
+			}
+		}
+		if free {
+			return address
+		}
+	}
+}
+
+// after returns the address on the next port.
+func after(address string) string {
+	host, port, err := net.SplitHostPort(address)
+	Expect(err).NotTo(HaveOccurred())
+	n, err := strconv.Atoi(port)
+	Expect(err).NotTo(HaveOccurred())
+	return net.JoinHostPort(host, strconv.Itoa(n+1))
+}
+
 func (f *fleet) faults(body string) {
 	GinkgoHelper()
 	put("http://"+f.store+"/faults", body)
@@ -151,9 +178,14 @@
 
 // apply replaces the text in force at the entry and returns the new revision.
 func (e *entryProcess) apply(firm string) uint64 {
+	GinkgoHelper()
+	return e.applyText(textOf(firm))
+}
+
+func (e *entryProcess) applyText(body string) uint64 {
 	GinkgoHelper()
 	base := strconv.FormatUint(e.revision(), 10)
-	status, _, raw, err := e.call(token.Operator, "anna", http.MethodPut, "/v1/text", textOf(firm), http.Header{"If-Match": {base}})
+	status, _, raw, err := e.call(token.Operator, "anna", http.MethodPut, "/v1/text", body, http.Header{"If-Match": {base}})
 	Expect(err).NotTo(HaveOccurred())
 	Expect(status).To(Equal(http.StatusOK), string(raw))
 	var out struct{ Revision uint64 }
--- a/e2e/members_test.go
+++ b/e2e/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -288,3 +289,34 @@
 		Entry("from the platform and one of the others", true, "e0"),
 	)
 })
+
+var _ = Describe("services with replicas", func() {
+	It("run in the order in which they depend on each other, and again after every entry was replaced", func() {
+		f := newFleet()
+		work := f.work("a", 2)
+		one := f.enter("e0", "a", "--linger", "0s")
+		inForceAt(one.applyText(`firm: kulhar
+fleet: [{domain: a, racks: 1, workers: 2, cores: 32, memory: 65536, accels: 8, slots: 8, conns: 64}]
+accounts: [{name: kulhar}]
+services:
+  - {name: cache, account: kulhar, replicas: 1, after: [ledger], idempotent: true, checkpoints: true, shape: {cores: 2}, payload: '{"sleep_ms":600000}'}
+  - {name: ledger, account: kulhar, replicas: 2, idempotent: true, checkpoints: true, shape: {cores: 4}, payload: '{"sleep_ms":600000}'}
+`), one)
+		begun := func() []string {
+			var list []string
+			for _, address := range []string{work, after(work)} {
+				for _, x := range journal(address) {
+					list = append(list, strings.Split(x.ID, ":")[1])
+				}
+			}
+			return list
+		}
+		Eventually(begun).WithTimeout(30 * time.Second).Should(ConsistOf("ledger", "ledger", "cache"))
+		two := f.enter("e1", "a", "--linger", "0s")
+		eventually(two.ready)
+		one.signal(syscall.SIGTERM)
+		_, err := one.Wait()
+		Expect(err).NotTo(HaveOccurred())
+		Consistently(begun).WithTimeout(6 * time.Second).WithPolling(500 * time.Millisecond).Should(HaveLen(3))
+	})
+})
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutsail/chestnutsail/instances"
 	"github.com/chestnutsail/chestnutsail/ledger"
 	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/reconcile"
 	"github.com/chestnutsail/chestnutsail/renewer"
 	"github.com/chestnutsail/chestnutsail/scheduler"
 	"github.com/chestnutsail/chestnutsail/term"
@@ -49,6 +50,10 @@
 	// The seat stops first, so that another entry takes the domain over at once.
 	e.kernel.Add("term", seat)
 	e.kernel.Add("herald", newHerald(seat, p.mesh.Announce))
+	e.kernel.Add("reconcile", reconcile.New(reconcile.Options{
+		Domain: domain, Leads: func() bool { return seat.Now().Leads }, Texts: p.holder, Jobs: replicas{book, p.directory},
+		Store: p.store, Clock: p.clock, Log: e.log,
+	}))
 	return book
 }
 
