--- a/capacity/site_test.go
+++ b/capacity/site_test.go
@@ -51,7 +51,7 @@
 		w := workertest.New(workertest.Options{Name: row.Name, Capacity: row.Capacity, Conns: row.Conns})
 		row.Address = s.serve(w, &s.toWorkers)
 		s.workers = append(s.workers, w)
-		if err := platformtest.Register(context.Background(), s.address, platform.RoleWorker, row); err != nil {
+		if err := platform.New(platform.Config{Address: s.address}).Register(context.Background(), platform.RoleWorker, row); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/cmd/chestnutsail/main.go
+++ b/cmd/chestnutsail/main.go
@@ -39,8 +39,8 @@
 		&demoCommand{},
 		&entryCommand{},
 		&checkCommand{}, &getCommand{}, &diffCommand{}, &applyCommand{},
-		&submitCommand{}, &waitCommand{}, &cancelCommand{},
-		&traceCommand{}, &replayCommand{},
+		&submitCommand{}, &waitCommand{}, &cancelCommand{}, &loadCommand{},
+		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{},
 		&tokenCommand{}, &completionCommand{}, &versionCommand{},
 	}
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -76,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	store := platform.New(platform.Config{Address: w.store})
 	failed := make(chan error, w.count)
 	for i := range w.count {
 		row := w.row
@@ -84,7 +85,7 @@
 		s := workertest.New(workertest.Options{Name: row.Name, Capacity: row.Capacity, Conns: row.Conns})
 		row.Address = net.JoinHostPort(host, strconv.Itoa(port+i))
 		go func() { failed <- serve(row.Address, s) }()
-		if err := platformtest.Register(context.Background(), w.store, platform.RoleWorker, row); err != nil {
+		if err := store.Register(context.Background(), platform.RoleWorker, row); err != nil {
 			return err
 		}
 	}
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -5,6 +5,7 @@
 
 	"github.com/chestnutsail/chestnutsail/cell"
 	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/queue"
 )
 
 // decide places what can be placed: urgent work first, then work within its
@@ -16,13 +17,37 @@
 	}
 	for _, a := range c.accounts {
 		if len(c.ledger.Of(a.name)) > 0 {
-			c.each(a, nil, func(w *work) bool { return w.needsAccels() && c.placeOwn(w) })
+			c.each(a, nil, func(w *work) bool { return w.needsAccels() && (c.placeIdle(w) || c.placeOwn(w)) })
 		}
 	}
-	c.placeFair()
+	c.placeFair(queue.Quick)
+	c.placeFair(queue.Normal)
 	c.makeRoom()
 }
 
+// placeIdle lets small work that can be stopped borrow idle workers as long as its
+// account's guarantee would cover it, so that cells are bound and borrowers stopped
+// only for work that needs it.
+func (c *Core) placeIdle(w *work) bool {
+	if c.large(w) || w.plain() && w.class.borrow == c.version {
+		return false
+	}
+	return w.acct.borrowed+int64(w.accels()*accelShare) <= c.unused(w.acct) && c.placeBorrow(w)
+}
+
+// unused returns what the account is guaranteed and does not hold in its cells, in
+// shares.
+func (c *Core) unused(a *account) int64 {
+	sum := 0
+	for _, v := range c.ledger.Of(a.name) {
+		sum += v.Accels - v.Sum()
+	}
+	return int64(sum * accelShare)
+}
+
+// beyond returns what the account holds beyond its guarantee, in shares.
+func (c *Core) beyond(a *account) int64 { return max(a.borrowed-c.unused(a), 0) }
+
 // each calls place for the account's waiting jobs in order, as long as while
 // holds, and reports whether any was placed.
 func (c *Core) each(a *account, while func(*work) bool, place func(*work) bool) {
@@ -31,41 +56,50 @@
 		if while != nil && !while(w) {
 			return
 		}
-		if !c.withinQuota(w) || !place(w) {
+		if c.hopeless(w) || !c.withinQuota(w) || !place(w) {
 			i++
 		}
 	}
 }
 
+// hopeless reports whether work of this class was seen not to fit, within its
+// guarantee or beyond it, since anything became free.
+func (c *Core) hopeless(w *work) bool {
+	return w.class.own == c.version && w.class.borrow == c.version && w.plain() && !w.urgent()
+}
+
 func (c *Core) withinQuota(w *work) bool {
+	if w.acct.quota == (job.Resources{}) {
+		return true
+	}
 	return within(w.acct.used.Add(w.needs(w.tasks())), w.acct.quota)
 }
 
 // placeFair places one job at a time, of the account that holds the least beyond
-// its guarantee for its weight.
-func (c *Core) placeFair() {
+// its guarantee for its weight, up to the given tier.
+func (c *Core) placeFair(last queue.Tier) {
 	at := make([]int, len(c.accounts))
 	for {
 		next := -1
 		for i, a := range c.accounts {
-			if at[i] >= a.queue.Len() {
+			if at[i] >= a.queue.Len() || a.queue.Rank(at[i]).Tier > last {
 				continue
 			}
-			if next < 0 || a.borrowed*c.accounts[next].weight < c.accounts[next].borrowed*a.weight {
+			if next < 0 || c.beyond(a)*c.accounts[next].weight < c.beyond(c.accounts[next])*a.weight {
 				next = i
 			}
 		}
 		if next < 0 {
 			return
 		}
-		at[next] = c.placeNext(c.accounts[next], at[next])
+		at[next] = c.placeNext(c.accounts[next], at[next], last)
 	}
 }
 
 // placeNext places the account's first job from position i on that fits, and
 // returns the position to go on from.
-func (c *Core) placeNext(a *account, i int) int {
-	for ; i < a.queue.Len(); i++ {
+func (c *Core) placeNext(a *account, i int, last queue.Tier) int {
+	for ; i < a.queue.Len() && a.queue.Rank(i).Tier <= last; i++ {
 		w := a.queue.At(i)
 		if w.plain() && w.class.borrow == c.version {
 			continue
@@ -86,7 +120,7 @@
 // placeUrgent starts urgent work wherever it may run, and stops less urgent work
 // for it.
 func (c *Core) placeUrgent(w *work) bool {
-	if w.plain() && w.class.reserve == c.version {
+	if w.plain() && w.class.over == c.version {
 		return false
 	}
 	lesser := func(v *work) bool { return !v.urgent() && v.spec().Stoppable() }
@@ -94,7 +128,7 @@
 		c.placeOwnOver(w, func(v *work) bool { return lesser(v) && v.acct == w.acct }, CauseReclaim) ||
 		c.placeOver(w, func(v *work) bool { return lesser(v) && v.mode != own }, CauseReclaim)
 	if !placed && w.plain() {
-		w.class.reserve = c.version
+		w.class.over = c.version
 	}
 	return placed
 }
@@ -107,7 +141,7 @@
 	if c.now < n.cool {
 		return false
 	}
-	if id, taken := c.reserved[n.Name]; taken && id != w.id {
+	if id, taken := c.reserved[n.Name]; taken && id != w.id && w.rank.Tier > queue.Quick {
 		return false
 	}
 	return n.Usable || c.probe(n, w)
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -53,6 +53,8 @@
 	held *guarantee.Virtual
 	// emptied lists the workers that are being emptied for this work.
 	emptied []string
+	// tried is the version at which no room could be made for this work.
+	tried int64
 }
 
 // part is what work occupies on one worker, in one cell if it runs in its guarantee.
@@ -90,22 +92,22 @@
 type classKey struct {
 	account    string
 	shape      job.Shape
-	class      job.Class
+	tier       queue.Tier
 	idempotent bool
 	stoppable  bool
 }
 
 // class remembers at which version jobs of one kind were last seen not to fit.
 type class struct {
-	own, borrow, reserve int64
+	own, borrow, over int64
 	// size is the largest cell that a task or an adjacent gang needs.
 	size int
 }
 
 const maxClasses = 4096
 
-func (c *Core) classOf(s job.Spec) *class {
-	key := classKey{s.Account, s.Shape, s.Class, s.Idempotent, s.Stoppable()}
+func (c *Core) classOf(s job.Spec, tier queue.Tier) *class {
+	key := classKey{s.Account, s.Shape, tier, s.Idempotent, s.Stoppable()}
 	k := c.classes[key]
 	if k == nil {
 		if len(c.classes) >= maxClasses {
