claim: count a store that hangs against it though callers give up first

Cause: a call that ended with its caller's deadline never counted as a failure, so a store that hangs for longer than the deadlines never opened the breaker and every request waited out its deadline for an unclear claim. Ruled out: counting all of them, since callers with short deadlines could then stop the store for everybody. Change: calls that took 300 ms or more count. Without it the new test waits 60 s and fails, with it the package passes.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -38,6 +38,10 @@
 // ErrOpen is the cause of a refusal while the store is not called because it fails.
 var ErrOpen = errors.New("claim: the store fails and is not called now")
 
+// slowCall is how long a call of the store must have taken for a caller that gives
+// up on it to count against the store.
+const slowCall = 300 * clock.Millisecond
+
 // Store is what claims need of the platform's store.
 type Store interface {
 	Put(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
@@ -201,13 +205,14 @@
 	if !ok {
 		return &platform.Error{Op: op, Key: k, Kind: platform.Refused, Err: ErrOpen}
 	}
+	began := b.opts.Clock.Now()
 	err := call()
 	switch platform.KindOf(err) {
 	case platform.OK, platform.Conflict, platform.Missing:
 		b.opts.Budget.Succeed()
 		done(breaker.Worked)
 	default:
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && b.opts.Clock.Now()-began < slowCall {
 			done(breaker.Neither)
 			break
 		}
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/breaker"
 	"github.com/chestnutsail/chestnutsail/budget"
 	"github.com/chestnutsail/chestnutsail/claim"
 	"github.com/chestnutsail/chestnutsail/clock"
@@ -19,6 +20,14 @@
 
 func TestClaim(t *testing.T) { suite.Run(t, "claim") }
 
+// hanging is a store that takes calls and never answers.
+type hanging struct{ claim.Store }
+
+func (hanging) Put(ctx context.Context, key string, _ uint64, _ []byte) (uint64, error) {
+	<-ctx.Done()
+	return 0, &platform.Error{Op: "put", Key: key, Kind: platform.Ambiguous, Err: ctx.Err()}
+}
+
 var _ = Describe("a book of claims", func() {
 	var (
 		store *platformtest.Server
@@ -74,6 +83,26 @@
 		Expect(calls).To(BeNumerically("<=", 7), "5 failures open the breaker, then one probe a second")
 	})
 
+	It("stops waiting for a store that does not answer, though callers give up before its timeout", func() {
+		slow := claim.New(claim.Options{
+			Store: hanging{}, Budget: budget.New(budget.Options{}),
+			Breaker: breaker.New(breaker.Options{Failures: 2, Open: clock.Minute}),
+		})
+		patient := func(wait clock.Millis) error {
+			c, cancel := context.WithTimeout(ctx, wait.Duration())
+			defer cancel()
+			_, err := slow.Take(c, refund)
+			return err
+		}
+		for range 3 {
+			Expect(platform.KindOf(patient(5))).To(Equal(platform.Ambiguous), "hasty callers show nothing")
+		}
+		for range 2 {
+			Expect(platform.KindOf(patient(320))).To(Equal(platform.Ambiguous))
+		}
+		Expect(platform.KindOf(patient(clock.Minute))).To(Equal(platform.Refused))
+	})
+
 	It("keeps a late change of an older state from landing on a tombstone", func() {
 		c, err := book.Take(ctx, refund)
 		Expect(err).NotTo(HaveOccurred())
