--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -33,6 +34,7 @@
 	DefaultOrphan  = clock.Hour
 	tickPeriod     = clock.Second
 	sweepPeriod    = clock.Hour
+	nudgePeriod    = clock.Second
 )
 
 const (
@@ -54,6 +56,8 @@
 	Write(ctx context.Context, e ledger.Entry) (ledger.Entry, error)
 	End(ctx context.Context, e ledger.Entry) (ledger.Entry, error)
 	Sweep(ctx context.Context, domain string) error
+	Nudge(ctx context.Context, domain string) error
+	Nudged(ctx context.Context, domain string, index uint64) (uint64, error)
 }
 
 // Seat tells who leads the domain.
@@ -115,6 +119,8 @@
 	done   sync.WaitGroup
 	hints  chan struct{}
 	known  entries
+	// nudged is when this entry last told a scheduler through the store.
+	nudged atomic.Int64
 
 	mu      sync.Mutex
 	session *session
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -155,10 +156,26 @@
 		defer cancel()
 		if err := d.tell(ctx, domain, methodHint, e, func() error { return d.hinted(ctx, e) }); err != nil {
 			d.opts.Log.WithError(err).Debug("dispatch: hint not delivered")
+			d.nudge(domain)
 		}
 	}()
 }
 
+// nudge tells the scheduler of a domain through the store, at most once in a period.
+// A nudge within the period waits for its end and stands for those that follow.
+func (d *Dispatcher) nudge(domain string) {
+	now, last := int64(d.opts.Clock.Now()), d.nudged.Load()
+	if last > now || !d.nudged.CompareAndSwap(last, max(now, last+int64(nudgePeriod))) {
+		return
+	}
+	time.Sleep(clock.Millis(max(last+int64(nudgePeriod)-now, 0)).Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), callTime.Duration())
+	defer cancel()
+	if err := d.opts.Ledger.Nudge(ctx, domain); err != nil {
+		d.opts.Log.WithError(err).Debug("dispatch: scheduler not nudged")
+	}
+}
+
 // tell brings a message to the scheduler of a domain, which may be this entry.
 func (d *Dispatcher) tell(ctx context.Context, domain, method string, in any, own func() error) error {
 	name := d.leader(domain)
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -91,6 +91,7 @@
 		return
 	}
 	s.d.set(s)
+	s.beside(s.heed)
 	tick := clock.NewTicker(tickPeriod)
 	defer tick.Stop()
 	listing := clock.NewTicker(s.opts.Listing)
@@ -287,6 +288,22 @@
 	})
 }
 
+// heed lists the live jobs whenever another entry asks for it through the store.
+func (s *session) heed() {
+	var index uint64
+	for s.ctx.Err() == nil {
+		next, err := s.opts.Ledger.Nudged(s.ctx, s.opts.Domain, index)
+		if err != nil {
+			clock.Sleep(s.ctx, nudgePeriod)
+			continue
+		}
+		if next != index {
+			s.list()
+		}
+		index = next
+	}
+}
+
 // list finds the jobs whose hints were lost.
 func (s *session) list() {
 	ids, canceled, err := s.opts.Ledger.IDs(s.ctx, s.opts.Domain)
--- a/e2e/gangs_test.go
+++ b/e2e/gangs_test.go
@@ -5,11 +5,18 @@
 	"errors"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/gang"
 	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/workertest"
 )
 
 // cluster is a store, some workers and some entries as separate processes.
@@ -109,3 +116,133 @@
 		Expect(c.submit(1, "reconcile", "night", `other`).Reason).To(Equal(outcome.KeyReused))
 	})
 })
+
+var _ = Describe("jobs", func() {
+	It("are not lost when every entry is killed at once, and end at the entry that replaces them", func() {
+		c := newCluster(2, 3)
+		for i := range 6 {
+			o := c.submit(0, "reconcile", fmt.Sprint("n", i), `{"sleep_ms":200,"echo":"ok"}`)
+			Expect(o.Kind).To(Equal(outcome.Accepted))
+		}
+		for _, p := range c.process {
+			Expect(p.Signal(syscall.SIGKILL)).To(Succeed())
+		}
+		c.join()
+		for i := range 6 {
+			c.ends(3, fmt.Sprint("n", i), outcome.Done)
+		}
+		for i, runs := range c.attempts() {
+			Expect(runs.partial).To(BeNumerically("<=", gang.DefaultShort+busy), i)
+		}
+	})
+
+	It("go on while their scheduler is frozen, and it does no harm when it wakes", func() {
+		c := newCluster(2, 2)
+		Expect(c.submit(0, "reconcile", "first", `{"sleep_ms":100,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
+		c.ends(0, "first", outcome.Done)
+		Expect(c.submit(0, "reconcile", "night", `{"sleep_ms":8000,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
+		eventually(func() error {
+			if c.attempts()["kulhar/night/1"].parts < 2 {
+				return errors.New("not started")
+			}
+			return nil
+		})
+		Expect(c.process[0].Signal(syscall.SIGSTOP)).To(Succeed())
+		Expect(c.submit(1, "reconcile", "after", `{"sleep_ms":100,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
+		c.ends(1, "night", outcome.Done)
+		c.ends(1, "after", outcome.Done)
+		Expect(c.process[0].Signal(syscall.SIGCONT)).To(Succeed())
+		time.Sleep(time.Second)
+		for id, runs := range c.attempts() {
+			Expect(id).To(HaveSuffix("/1"), "a job ran again")
+			Expect(runs.parts).To(Equal(2))
+			Expect(runs.partial).To(BeNumerically("<=", gang.DefaultShort+busy), id)
+		}
+		Expect(c.ask(0, "night").Kind).To(Equal(outcome.Done))
+	})
+})
+
+// urgentBound is the time within which urgent work has to start.
+const urgentBound = 6200 * clock.Millisecond
+
+// leader returns the index of the entry that schedules the domain.
+func (c *cluster) leader() int {
+	GinkgoHelper()
+	raw, err := call("GET", "http://"+c.store+"/v1/kv/term/a", "", nil)
+	Expect(err).NotTo(HaveOccurred())
+	var pairs []struct{ Value []byte }
+	Expect(json.Unmarshal(raw, &pairs)).To(Succeed())
+	var v struct{ Holder string }
+	Expect(json.Unmarshal(pairs[0].Value, &v)).To(Succeed())
+	n, err := strconv.Atoi(strings.TrimPrefix(v.Holder, "e"))
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+var _ = Describe("urgent work", func() {
+	DescribeTable("starts within 6.2 s", func(end os.Signal) {
+		c := newCluster(2, 3)
+		Expect(c.submit(0, "reconcile", "first", `{"sleep_ms":50}`).Kind).To(Equal(outcome.Accepted))
+		c.ends(0, "first", outcome.Done)
+		leader := c.leader()
+		if end != nil {
+			Expect(c.process[leader].Signal(end)).To(Succeed())
+		}
+		begun := clock.New().Now()
+		o := c.outcome("POST", (leader+1)%3, "", map[string]any{
+			"service": "reconcile", "key": "urgent", "class": "urgent", "payload": []byte(`{"sleep_ms":50}`),
+		})
+		Expect(o.Kind).To(Equal(outcome.Accepted))
+		c.ends((leader+1)%3, "urgent", outcome.Done)
+		var started clock.Millis
+		for _, w := range c.workers {
+			for _, x := range journal(w) {
+				if x.ID == "kulhar/urgent" {
+					started = max(started, x.Start)
+				}
+			}
+		}
+		AddReportEntry("milliseconds to the start", int64(started-begun))
+		Expect(started - begun).To(BeNumerically("<=", urgentBound))
+	},
+		Entry("with its scheduler at work", nil),
+		Entry("with its scheduler just killed", syscall.SIGKILL),
+		Entry("with its scheduler just frozen", syscall.SIGSTOP),
+		Entry("with its scheduler leaving", syscall.SIGTERM),
+	)
+})
+
+// busy allows for a busy computer.
+const busy = 500 * clock.Millisecond
+
+// attempt is what the workers' journals tell of one attempt of a job.
+type attempt struct {
+	parts   int
+	partial clock.Millis
+}
+
+// attempts returns every attempt that had an effect, by its job and number. The
+// span in which one of two parts ran alone is the distance of their starts, and
+// of their ends unless the part that ended first had finished.
+func (c *cluster) attempts() map[string]attempt {
+	GinkgoHelper()
+	parts := make(map[string][]workertest.Execution)
+	for _, w := range c.workers {
+		for _, x := range journal(w) {
+			id := fmt.Sprintf("%s/%d", x.ID, x.Attempt)
+			parts[id] = append(parts[id], x)
+		}
+	}
+	out := make(map[string]attempt)
+	for id, p := range parts {
+		a := attempt{parts: len(p)}
+		for _, x := range p {
+			a.partial = max(a.partial, x.Start-p[0].Start, p[0].Start-x.Start)
+			if len(p) < 2 && x.End > 0 {
+				a.partial = x.End - x.Start
+			}
+		}
+		out[id] = a
+	}
+	return out
+}
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -47,7 +47,7 @@
 	Hold clock.Millis
 	// Short is the lease of a member until the whole gang is confirmed; default 2 s.
 	Short clock.Millis
-	// Lease is the lease of a member of a whole gang; default 25 s.
+	// Lease is the lease of a member of a whole gang; default 40 s.
 	Lease clock.Millis
 	// Call bounds one call to an agent; default 1 s.
 	Call clock.Millis
@@ -57,7 +57,7 @@
 const (
 	DefaultHold  = 4 * clock.Second
 	DefaultShort = 2 * clock.Second
-	DefaultLease = 25 * clock.Second
+	DefaultLease = 40 * clock.Second
 	DefaultCall  = clock.Second
 )
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -39,6 +39,7 @@
 	Get(ctx context.Context, key string) (platform.Entry, error)
 	List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error)
 	Keys(ctx context.Context, prefix string) ([]string, error)
+	Watch(ctx context.Context, prefix string, index uint64, wait clock.Millis) ([]platform.Entry, uint64, error)
 }
 
 // Entry is a live record with its version in the store.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -28,8 +28,8 @@
 
 func TestLedger(t *testing.T) { suite.Run(t, "ledger") }
 
-func newStore(opts platformtest.Options) (*platformtest.Server, func(ledger.Options) *ledger.Ledger) {
-	store := platformtest.New(opts)
+func newStore() (*platformtest.Server, func(ledger.Options) *ledger.Ledger) {
+	store := platformtest.New(platformtest.Options{})
 	server := httptest.NewServer(store)
 	DeferCleanup(server.Close)
 	return store, func(o ledger.Options) *ledger.Ledger {
@@ -62,7 +62,7 @@
 
 var _ = Describe("a job's key", func() {
 	It("is one job in the whole firm, and refuses another payload", func() {
-		_, open := newStore(platformtest.Options{})
+		_, open := newStore()
 		a, b := open(ledger.Options{Domain: "a"}), open(ledger.Options{Domain: "b"})
 		Expect(a.Submit(bg(), spec("k", "1")).Kind).To(Equal(outcome.Accepted))
 		Expect(b.Submit(bg(), spec("k", "1")).Kind).To(Equal(outcome.Accepted))
@@ -73,7 +73,7 @@
 	})
 
 	It("conflicts by itself: the other records of its call are written", func() {
-		store, open := newStore(platformtest.Options{})
+		store, open := newStore()
 		l := open(ledger.Options{Parallel: 1})
 		for i := range 20 {
 			Expect(l.Submit(bg(), spec(fmt.Sprint("k", i), "1")).Kind).To(Equal(outcome.Accepted))
@@ -99,7 +99,7 @@
 
 	It("is not called unrecorded when the write took effect and the store then went away", func() {
 		parallelSeeds(10, func(int) {
-			store, open := newStore(platformtest.Options{})
+			store, open := newStore()
 			l := open(ledger.Options{})
 			store.SetFaults(platformtest.Faults{LoseAnswers: 1})
 			var all sync.WaitGroup
@@ -119,7 +119,7 @@
 	})
 
 	It("is free again once the ended job is past its retention", func() {
-		_, open := newStore(platformtest.Options{})
+		_, open := newStore()
 		c := clock.NewManual(clock.Hour)
 		l := open(ledger.Options{Clock: c, Retention: 10 * clock.Hour})
 		Expect(l.Submit(bg(), spec("k", "1")).Kind).To(Equal(outcome.Accepted))
@@ -199,7 +199,7 @@
 	DescribeTable("is linearizable under concurrent clients of several entries", func(faults platformtest.Faults) {
 		const clients, calls, seeds = 4, 10, 4
 		for seed := range uint64(seeds) {
-			store, open := newStore(platformtest.Options{})
+			store, open := newStore()
 			ledgers := []*ledger.Ledger{open(ledger.Options{}), open(ledger.Options{Domain: "b"})}
 			store.SetFaults(faults)
 			var mu sync.Mutex
--- /dev/null
+++ b/ledger/nudge.go
@@ -0,0 +1,38 @@
+package ledger
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/platform"
+)
+
+// nudges is the prefix of the keys that tell a domain's scheduler to look for new
+// records: hint/DOMAIN.
+const nudges = "hint/"
+
+const nudgeWait = 30 * clock.Second
+
+// Nudge tells the scheduler of a domain through the store that records have
+// changed. It is for entries that can't reach the scheduler.
+func (l *Ledger) Nudge(ctx context.Context, domain string) error {
+	key := nudges + domain
+	e, err := l.opts.Store.Get(ctx, key)
+	if err != nil && platform.KindOf(err) != platform.Missing {
+		return err
+	}
+	value := []byte(strconv.FormatInt(int64(l.opts.Clock.Now()), 10))
+	_, err = l.commit.do(ctx, []platform.Op{{Key: key, Version: e.Version, Value: value}})
+	if platform.KindOf(err) == platform.Conflict {
+		return nil
+	}
+	return err
+}
+
+// Nudged waits until the domain is nudged past index, or for 30 s, and returns the
+// index to wait from next.
+func (l *Ledger) Nudged(ctx context.Context, domain string, index uint64) (uint64, error) {
+	_, next, err := l.opts.Store.Watch(ctx, nudges+domain, index, nudgeWait)
+	return next, err
+}
--- a/renewer/renewer.go
+++ b/renewer/renewer.go
@@ -25,7 +25,7 @@
 
 // Defaults of the times in milliseconds.
 const (
-	DefaultPeriod = 10 * clock.Second
+	DefaultPeriod = 15 * clock.Second
 	DefaultGrace  = 30 * clock.Second
 )
 
@@ -88,7 +88,7 @@
 	// Term returns the highest term known; nothing is renewed while it is 0.
 	Term func() int64
 	Line Line
-	// Period is the time in milliseconds between two renewals of a worker; 0 means 10 s.
+	// Period is the time in milliseconds between two renewals of a worker; 0 means 15 s.
 	Period clock.Millis
 	// Lease is the lease asked for in milliseconds; 0 means gang.DefaultLease.
 	Lease clock.Millis
