--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -66,6 +66,8 @@
 	Failures int          `json:"failures,omitempty"`
 	Gang     bool         `json:"gang,omitempty"`
 	Emptied  []string     `json:"emptied,omitempty"`
+	// Tried tells that no room can be made for the job until something changes.
+	Tried bool `json:"tried,omitempty"`
 }
 
 // PartState is what a job occupies on one worker.
@@ -94,7 +96,9 @@
 		}
 	}
 	for _, w := range c.bySeq() {
-		s.Jobs = append(s.Jobs, w.state())
+		j := w.state()
+		j.Tried = w.tried == c.version
+		s.Jobs = append(s.Jobs, j)
 	}
 	return s
 }
@@ -141,6 +145,9 @@
 		if c.works[j.Record.Spec.ID()] != nil || j.Record.State.Ended() {
 			continue
 		}
+		if j.Seq == 0 && c.turnedAway(&j.Record) {
+			continue
+		}
 		w := c.loadJob(j)
 		if w.rec.State != job.Waiting && len(w.parts) == 0 {
 			found = append(found, w)
@@ -154,6 +161,11 @@
 	for _, w := range found {
 		c.adopt(w)
 	}
+	for _, j := range s.Jobs {
+		if w := c.works[j.Record.Spec.ID()]; w != nil && j.Tried {
+			w.tried = c.version
+		}
+	}
 	c.due = c.nextDue()
 }
 
@@ -194,6 +206,7 @@
 		if j.Rank != (queue.Rank{}) {
 			c.dequeue(w)
 			w.rank, w.queued = j.Rank, true
+			w.class = c.classOf(w.rec.Spec, w.rank.Tier)
 			w.acct.queue.Add(w, w.rank)
 			c.demand.Add(w.class.size, 1)
 		}
