gang: never take another scheduler's silent or replaced member for one that did not run

The scheduler of the higher term found the older one's record and stopped that gang through a Gang of its own, which had not seen the lifts: a silent member was then given up at once as never lifted, and the job was placed again. A worker's process replaced before an adoption or a stop had the same effect, since the new process knows nothing of the part. Ruled out: a lost fence (the workers refused every older call); the ledger's compare-and-swap (attempt 2 was recorded on top of attempt 1 as it should be). Change: a placement records the workers' incarnations; a gang that another scheduler has recorded counts as having run unless every member of the recorded process answers that it did not.

--- a/dispatch/carry.go
+++ b/dispatch/carry.go
@@ -64,7 +64,7 @@
 		Spec: j.spec, State: job.Placed, Domain: s.opts.Domain, Attempt: a.Attempt,
 		Term: s.term, Members: a.Members, Checkpoint: j.checkpoint,
 	}
-	g := s.gang(j, r)
+	g := s.gang(j, r, false)
 	j.begin(g, a.Attempt)
 	s.then(j, func() {
 		s.hold(g)
@@ -96,14 +96,18 @@
 // report posts f as the answer of a step.
 func (s *session) report(f func()) { _ = s.post(s.ctx, f) }
 
-// gang returns the gang of a placed record.
-func (s *session) gang(j *live, r job.Record) *gang.Gang {
+// gang returns the gang of a placed record, which another scheduler has placed if
+// foreign is set.
+func (s *session) gang(j *live, r job.Record, foreign bool) *gang.Gang {
 	return gang.New(gang.Options{
 		Record: r, Term: s.term, Times: s.opts.Times, Clock: s.opts.Clock, Log: s.opts.Log,
 		Agent:  s.d.agent,
 		Leads:  func() bool { return s.opts.Seat.Now().Leads },
-		Orphan: s.opts.Orphan,
-		Commit: func(ctx context.Context) error { return s.commit(ctx, j, r) },
+		Orphan: s.opts.Orphan, Foreign: foreign,
+		Commit: func(ctx context.Context, members []job.Member) error {
+			r.Members = members
+			return s.commit(ctx, j, r)
+		},
 		Broadcast: func(ctx context.Context, grace clock.Millis) bool {
 			return s.d.broadcast(ctx, renewer.Notice{ID: j.id, Attempt: r.Attempt, Grace: grace})
 		},
@@ -200,7 +204,7 @@
 	if j.entry.Record.Term >= s.term {
 		return gang.Result{Kind: scheduler.Refused, Committed: true}
 	}
-	r := s.gang(j, j.entry.Record).Stop(s.ctx, 0)
+	r := s.gang(j, j.entry.Record, true).Stop(s.ctx, 0)
 	j.ran = j.ran || r.Lifted
 	switch {
 	case r.Kind == scheduler.Finished || r.Kind == scheduler.Broken:
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -110,7 +110,7 @@
 func (s *session) adopt(j *live) {
 	r := j.entry.Record
 	r.Term = s.term
-	g := s.gang(j, r)
+	g := s.gang(j, r, true)
 	j.begin(g, r.Attempt)
 	s.then(j, func() {
 		// The term in the record makes every later write of the old scheduler fail.
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -82,8 +82,11 @@
 	Term   int64
 	// Agent returns the agent of a worker, or nil when the worker is not listed.
 	Agent func(name string) Agent
-	// Commit records the placement; nothing is started unless it returns nil.
-	Commit func(ctx context.Context) error
+	// Commit records the placement on these members; nothing is started unless it returns nil.
+	Commit func(ctx context.Context, members []job.Member) error
+	// Foreign tells that another scheduler has recorded the placement, and so may have
+	// run a member that does not answer for itself.
+	Foreign bool
 	// Leads reports whether the term still holds; it is asked before each step. nil means yes.
 	Leads func() bool
 	// Broadcast asks every entry of the domain to stop the gang's members on the workers
@@ -237,7 +240,7 @@
 		return g.fail(ctx, "", err)
 	}
 	g.note(func() { g.committed = true })
-	if err := g.opts.Commit(ctx); err != nil {
+	if err := g.opts.Commit(ctx, g.placed()); err != nil {
 		return g.fail(ctx, "", err)
 	}
 	if err := g.mayGoOn(held, g.opts.Times.Hold); err != nil {
@@ -246,6 +249,17 @@
 	return g.launch(ctx)
 }
 
+// placed returns the members with the processes that hold their parts.
+func (g *Gang) placed() []job.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := slices.Clone(g.opts.Record.Members)
+	for i := range members {
+		members[i].Incarnation = g.tasks[i].Incarnation
+	}
+	return members
+}
+
 // launch starts the members throttled and lifts the throttles.
 func (g *Gang) launch(ctx context.Context) Result {
 	g.move(start)
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -38,9 +38,21 @@
 	if ctx.Err() == nil {
 		g.move(end)
 	}
+	for i := range silent {
+		g.note(func() { g.lifted = g.lifted || g.doubtful(i, silent[i]) })
+	}
 	return g.verdict(silent)
 }
 
+// doubtful reports whether a member of another scheduler's gang may have run though
+// it does not say so: it is silent, or its worker's process was replaced. The caller
+// holds mu.
+func (g *Gang) doubtful(i int, silent bool) bool {
+	m, t := g.opts.Record.Members[i], g.tasks[i]
+	replaced := m.Incarnation != "" && t.Incarnation != m.Incarnation
+	return g.opts.Foreign && (silent || replaced)
+}
+
 // broadcast asks the entries that may renew a member to stop it, and returns whether
 // all of them have heard it once that is known.
 func (g *Gang) broadcast(ctx context.Context, grace clock.Millis) func() bool {
@@ -60,12 +72,13 @@
 	asked := g.opts.Clock.Now()
 	for ctx.Err() == nil {
 		if a := g.opts.Agent(m.Worker); a != nil {
-			t, err := g.stopOnce(ctx, a, grace)
+			t, err := g.stopOnce(ctx, a, m, grace)
 			if err == nil {
 				return t, true
 			}
-			if worker.RefusalOf(err) == worker.Fenced {
-				// A newer scheduler or attempt has taken the member over.
+			switch worker.RefusalOf(err) {
+			case worker.Fenced, worker.Replaced:
+				// A newer scheduler or attempt has taken the member over, or its process is gone.
 				return worker.Task{State: worker.Lapsed}, false
 			}
 		}
@@ -77,11 +90,11 @@
 	return worker.Task{}, false
 }
 
-func (g *Gang) stopOnce(ctx context.Context, a Agent, grace clock.Millis) (worker.Task, error) {
+func (g *Gang) stopOnce(ctx context.Context, a Agent, m job.Member, grace clock.Millis) (worker.Task, error) {
 	ctx, cancel := context.WithTimeout(ctx, (grace + g.opts.Times.Call).Duration())
 	defer cancel()
 	r := g.opts.Record
-	return a.Stop(ctx, worker.Stop{ID: r.Spec.ID(), Attempt: r.Attempt, Term: g.opts.Term, Grace: grace})
+	return a.Stop(ctx, worker.Stop{ID: r.Spec.ID(), Attempt: r.Attempt, Term: g.opts.Term, Grace: grace, Incarnation: m.Incarnation})
 }
 
 // leaseEnd returns how long after the first call a silent member may still run: not
@@ -89,7 +102,7 @@
 // and as long as an entry that was not heard may go on renewing.
 func (g *Gang) leaseEnd(heard func() bool) clock.Millis {
 	g.mu.Lock()
-	lifted := g.lifted
+	lifted := g.lifted || g.opts.Foreign
 	g.mu.Unlock()
 	if !lifted {
 		return 0
@@ -152,7 +165,7 @@
 	r := g.result(scheduler.Finished, "", nil)
 	for i, t := range r.Tasks {
 		name := g.opts.Record.Members[i].Worker
-		g.note(func() { g.lifted = g.lifted || t.Ran })
+		g.note(func() { g.lifted = g.lifted || t.Ran || g.doubtful(i, false) })
 		switch {
 		case t.State == worker.Failed:
 			return g.result(scheduler.Broken, name, nil)
--- a/job/record.go
+++ b/job/record.go
@@ -29,6 +29,9 @@
 	Worker string `json:"worker"`
 	// Tasks is the number of the gang's tasks on the worker.
 	Tasks int `json:"tasks"`
+	// Incarnation names the process of the worker that holds the part; it is set when
+	// the placement is recorded.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // Record is the durable record of an accepted job.
--- a/workertest/tasks.go
+++ b/workertest/tasks.go
@@ -126,6 +126,10 @@
 		return s.fence(in)
 	}
 	s.mu.Lock()
+	if s.replaced(in.Incarnation) {
+		s.mu.Unlock()
+		return worker.Task{}, worker.Replaced
+	}
 	t, known := s.tasks[in.ID]
 	if s.fenced(in.ID, in.Attempt, in.Term) {
 		s.mu.Unlock()
