--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -101,6 +101,30 @@
 		})
 	})
 
+	It("runs in part for at most the short lease when its scheduler freezes at any call and none follows", func() {
+		const steps = 24
+		parallel(steps, func(step int) {
+			d := newDomain(2)
+			e := d.join("e1")
+			e.leads()
+			spec := gangSpec("night", 2, `{"sleep_ms":60000}`)
+			// The submission is the first call.
+			e.wire.delayAt.Store(e.wire.calls.Load() + 2 + int64(step))
+			ctx, cancel := context.WithTimeout(bg(), time.Second)
+			defer cancel()
+			Expect(e.ledger.Submit(ctx, spec).Kind).To(Or(Equal(outcome.Accepted), Equal(outcome.Unknown)))
+			time.Sleep((times.Lease + 2*clock.Second).Duration())
+			for _, r := range d.runs(spec.ID()) {
+				if len(r.parts) < 2 {
+					Expect(r.partial(2, clock.New().Now())).To(BeNumerically("<=", times.Short+slack), fmt.Sprint("step ", step, r))
+				}
+			}
+			e.wire.dead.Store(true)
+			close(e.wire.resume)
+			e.kill()
+		})
+	})
+
 	It("goes on while no scheduler leads and the store is down, and is ended when it loses a worker", func() {
 		d := newDomain(2)
 		e1 := d.join("e1")
