--- a/e2e/gangs_test.go
+++ b/e2e/gangs_test.go
@@ -68,9 +68,9 @@
 
 func (c *cluster) env(entry int) string { return "CHESTNUTSAIL_ADDRESS=http://" + c.entries[entry] }
 
-func (c *cluster) submit(entry int, service, key, payload string) outcome.Outcome {
+func (c *cluster) submit(entry int, key, payload string) outcome.Outcome {
 	GinkgoHelper()
-	return c.outcome("POST", entry, "", map[string]any{"service": service, "key": key, "payload": []byte(payload)})
+	return c.outcome("POST", entry, "", map[string]any{"service": "reconcile", "key": key, "payload": []byte(payload)})
 }
 
 func (c *cluster) ask(entry int, key string) outcome.Outcome {
@@ -87,12 +87,12 @@
 	return o
 }
 
-// ends waits until a request has the kind of outcome at an entry.
-func (c *cluster) ends(entry int, key string, kind outcome.Kind) outcome.Outcome {
+// ends waits until a request is done at an entry.
+func (c *cluster) ends(entry int, key string) outcome.Outcome {
 	GinkgoHelper()
 	var o outcome.Outcome
 	eventually(func() error {
-		if o = c.ask(entry, key); o.Kind != kind {
+		if o = c.ask(entry, key); o.Kind != outcome.Done {
 			return errors.New(string(o.Kind) + " " + string(o.Reason) + " " + o.Detail)
 		}
 		return nil
@@ -103,17 +103,17 @@
 var _ = Describe("a gang", func() {
 	It("is submitted at one entry, runs whole and answers by key from any", func() {
 		c := newCluster(2, 2)
-		o := c.submit(0, "reconcile", "night", `{"sleep_ms":300,"echo":"balanced"}`)
+		o := c.submit(0, "night", `{"sleep_ms":300,"echo":"balanced"}`)
 		Expect(o.Kind).To(Equal(outcome.Accepted))
 		for i := range c.entries {
-			o = c.ends(i, "night", outcome.Done)
+			o = c.ends(i, "night")
 			Expect(string(o.Body)).To(ContainSubstring("YmFsYW5jZWQ="))
 		}
 		for _, w := range c.workers {
 			Expect(journal(w)).To(HaveLen(1))
 		}
-		Expect(c.submit(1, "reconcile", "night", `{"sleep_ms":300,"echo":"balanced"}`).Kind).To(Equal(outcome.Done))
-		Expect(c.submit(1, "reconcile", "night", `other`).Reason).To(Equal(outcome.KeyReused))
+		Expect(c.submit(1, "night", `{"sleep_ms":300,"echo":"balanced"}`).Kind).To(Equal(outcome.Done))
+		Expect(c.submit(1, "night", `other`).Reason).To(Equal(outcome.KeyReused))
 	})
 })
 
@@ -121,7 +121,7 @@
 	It("are not lost when every entry is killed at once, and end at the entry that replaces them", func() {
 		c := newCluster(2, 3)
 		for i := range 6 {
-			o := c.submit(0, "reconcile", fmt.Sprint("n", i), `{"sleep_ms":200,"echo":"ok"}`)
+			o := c.submit(0, fmt.Sprint("n", i), `{"sleep_ms":200,"echo":"ok"}`)
 			Expect(o.Kind).To(Equal(outcome.Accepted))
 		}
 		for _, p := range c.process {
@@ -129,7 +129,7 @@
 		}
 		c.join()
 		for i := range 6 {
-			c.ends(3, fmt.Sprint("n", i), outcome.Done)
+			c.ends(3, fmt.Sprint("n", i))
 		}
 		for i, runs := range c.attempts() {
 			Expect(runs.partial).To(BeNumerically("<=", gang.DefaultShort+busy), i)
@@ -138,9 +138,9 @@
 
 	It("go on while their scheduler is frozen, and it does no harm when it wakes", func() {
 		c := newCluster(2, 2)
-		Expect(c.submit(0, "reconcile", "first", `{"sleep_ms":100,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
-		c.ends(0, "first", outcome.Done)
-		Expect(c.submit(0, "reconcile", "night", `{"sleep_ms":8000,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
+		Expect(c.submit(0, "first", `{"sleep_ms":100,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
+		c.ends(0, "first")
+		Expect(c.submit(0, "night", `{"sleep_ms":8000,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
 		eventually(func() error {
 			if c.attempts()["kulhar/night/1"].parts < 2 {
 				return errors.New("not started")
@@ -148,9 +148,9 @@
 			return nil
 		})
 		Expect(c.process[0].Signal(syscall.SIGSTOP)).To(Succeed())
-		Expect(c.submit(1, "reconcile", "after", `{"sleep_ms":100,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
-		c.ends(1, "night", outcome.Done)
-		c.ends(1, "after", outcome.Done)
+		Expect(c.submit(1, "after", `{"sleep_ms":100,"echo":"ok"}`).Kind).To(Equal(outcome.Accepted))
+		c.ends(1, "night")
+		c.ends(1, "after")
 		Expect(c.process[0].Signal(syscall.SIGCONT)).To(Succeed())
 		time.Sleep(time.Second)
 		for id, runs := range c.attempts() {
@@ -182,8 +182,8 @@
 var _ = Describe("urgent work", func() {
 	DescribeTable("starts within 6.2 s", func(end os.Signal) {
 		c := newCluster(2, 3)
-		Expect(c.submit(0, "reconcile", "first", `{"sleep_ms":50}`).Kind).To(Equal(outcome.Accepted))
-		c.ends(0, "first", outcome.Done)
+		Expect(c.submit(0, "first", `{"sleep_ms":50}`).Kind).To(Equal(outcome.Accepted))
+		c.ends(0, "first")
 		leader := c.leader()
 		if end != nil {
 			Expect(c.process[leader].Signal(end)).To(Succeed())
@@ -193,7 +193,7 @@
 			"service": "reconcile", "key": "urgent", "class": "urgent", "payload": []byte(`{"sleep_ms":50}`),
 		})
 		Expect(o.Kind).To(Equal(outcome.Accepted))
-		c.ends((leader+1)%3, "urgent", outcome.Done)
+		c.ends((leader+1)%3, "urgent")
 		var started clock.Millis
 		for _, w := range c.workers {
 			for _, x := range journal(w) {
