scheduler: look for several cells only in racks that could hold them

Cause: gangs that need several cells in one rack were tried in every rack after each release; a decision at 240 workers had a p99 of 2.9 ms, a burst of 2,000 took 1.6 s. Change: a rack is tried only if what is unbound there and what the account is owed could cover the gang. Loser, reverted: never looking for several cells in one rack for work that can be stopped (p99 979 us, but 2 late guarantee waits, the longest 112.8 s).

--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -324,7 +324,7 @@
 	case job.Rack:
 		rack := ""
 		for _, row := range p.c.space.Rows {
-			if row.Rack != rack && p.inSeveralOf(row.Rack) {
+			if row.Rack != rack && p.enough(row) && p.inSeveralOf(row.Rack) {
 				return true
 			}
 			rack = row.Rack
@@ -335,6 +335,27 @@
 	}
 }
 
+// enough reports whether the row's unbound cells and the room in the account's
+// bound ones could hold the work.
+func (p *ownPlace) enough(row *cell.Row) bool {
+	if row.Accels == 0 {
+		return true
+	}
+	size, owed := 0, 0
+	for _, v := range p.cells {
+		if v.Row == nil {
+			size, owed = v.Accels, owed+v.Accels
+		}
+	}
+	missing := p.w.accels()
+	for _, v := range p.cells {
+		if v.Row == row {
+			missing -= v.Accels - v.Sum()
+		}
+	}
+	return missing <= owed && (size == 0 || row.Unbound.Sum() >= missing)
+}
+
 func (p *ownPlace) inSeveralOf(rack string) bool {
 	var bound []*guarantee.Virtual
 	for {
