scheduler: move an account's own smaller work for its large gangs

The account's own small work held 41 of its cell's 64 accelerators on six of eight workers; no other account's work stood in the cell. Change: a large work that its account's guarantee has room for may move smaller stoppable works of the same account.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -17,7 +17,7 @@
 	}
 	for _, a := range c.accounts {
 		if len(c.ledger.Of(a.name)) > 0 {
-			c.each(a, nil, func(w *work) bool { return w.needsAccels() && (c.placeIdle(w) || c.placeOwn(w)) })
+			c.each(a, nil, func(w *work) bool { return w.needsAccels() && (c.placeIdle(w) || c.placeOwn(w) || c.placePacked(w)) })
 		}
 	}
 	c.placeFair(queue.Quick)
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -52,6 +52,24 @@
 	return p.inOne() || p.inBound() || p.inSeveral()
 }
 
+// placePacked places a large work that its account's guarantee has room for, though
+// smaller works of the account are scattered over the cells, by moving those.
+func (c *Core) placePacked(w *work) bool {
+	if !c.large(w) || int64(w.accels()*accelShare) > c.unused(w.acct) || w.plain() && w.class.packed == c.version {
+		return false
+	}
+	smaller := func(v *work) bool {
+		return v.acct == w.acct && v.spec().Stoppable() && !v.urgent() && v.accels() < w.accels()
+	}
+	if c.placeOwnOver(w, smaller, CauseMove) {
+		return true
+	}
+	if w.plain() {
+		w.class.packed = c.version
+	}
+	return false
+}
+
 // ownPlace is one try to place a work within its account's guarantee.
 type ownPlace struct {
 	c     *Core
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -99,7 +99,7 @@
 
 // class remembers at which version jobs of one kind were last seen not to fit.
 type class struct {
-	own, borrow, over int64
+	own, packed, borrow, over int64
 	// size is the largest cell that a task or an adjacent gang needs.
 	size int
 }
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -1,6 +1,7 @@
 package workload_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,6 +27,21 @@
 		})
 	}
 
+	for _, prefer := range []int{50, 75} {
+		for seed := range uint64(3) {
+			for _, w := range workload.All(seed + 1) {
+				if w.Name != "perth morning" && w.Name != "half canceled" {
+					continue
+				}
+				It(fmt.Sprintf("wait for a guarantee within the bound: %s, seed %d, prefer %d", w.Name, seed+1, prefer), func() {
+					w.Text.Prefer = prefer
+					r := workload.Run(scheduler.New(scheduler.Options{Domain: "a"}), w)
+					Expect(r.Late).To(BeZero(), "the longest wait was %s", r.WaitMax)
+				})
+			}
+		}
+	}
+
 	It("end under both baselines", func() {
 		for _, p := range []baseline.Policy{baseline.FirstFit, baseline.BestFit} {
 			r := workload.Run(baseline.New(baseline.Options{Policy: p}), workload.All(seed)[0])
