claim, ledger: let a key belong to a quick request or to a job, never to both

Cause: claims and jobs stand under different keys of the store, so a request that was sent again after its service had changed its kind in the text could run once as a quick request and once as a job. Ruled out: one shared key for both (the sweeper of either would have to know the other's values and retention); asking the other side first (a race, and a read for each request). Change: the transaction that makes either one requires that the other's key does not exist (check-not-exists, one call as before); the loser is refused as key_reused. Faults of the claims' model moved from Put to Commit with it.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -42,9 +42,12 @@
 // up on it to count against the store.
 const slowCall = 300 * clock.Millisecond
 
+// ErrOtherKind is the cause of a conflict with a request of another kind, which is
+// not kept as a claim but used the same key.
+var ErrOtherKind = errors.New("claim: the key belongs to a request of another kind")
+
 // Store is what claims need of the platform's store.
 type Store interface {
-	Put(ctx context.Context, key string, version uint64, value []byte) (uint64, error)
 	Get(ctx context.Context, key string) (platform.Entry, error)
 	List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error)
 	Commit(ctx context.Context, ops []platform.Op) ([]uint64, error)
@@ -80,6 +83,9 @@
 // Options configures a Book.
 type Options struct {
 	Store Store
+	// Exclude returns a key of the store that must not exist when a request is claimed;
+	// nil means none.
+	Exclude func(account, name string) string
 	// Breaker guards the store; nil means one of its own.
 	Breaker *breaker.Breaker
 	// Budget bounds retries; nil means one of its own.
@@ -120,9 +126,25 @@
 	if platform.KindOf(err) == platform.Conflict && standing.Version != 0 {
 		return standing, nil
 	}
+	if platform.KindOf(err) == platform.Conflict && b.excluded(ctx, c) {
+		err = &platform.Error{Op: "claim", Key: Key(c.Account, c.Key), Kind: platform.Conflict, Err: ErrOtherKind}
+	}
 	return standing, err
 }
 
+// excluded reports whether a request of another kind has the claim's key.
+func (b *Book) excluded(ctx context.Context, c Claim) bool {
+	if b.opts.Exclude == nil {
+		return false
+	}
+	k := b.opts.Exclude(c.Account, c.Key)
+	err := b.guard(ctx, "find", k, func() error {
+		_, err := b.opts.Store.Get(ctx, k)
+		return err
+	})
+	return err == nil
+}
+
 // Find returns the standing claim of a key, or an error of kind platform.Missing.
 func (b *Book) Find(ctx context.Context, account, name string) (Claim, error) {
 	k := Key(account, name)
@@ -192,8 +214,15 @@
 
 func (b *Book) put(ctx context.Context, c Claim, value []byte) (version uint64, err error) {
 	k := Key(c.Account, c.Key)
-	err = b.guard(ctx, "claim", k, func() (err error) {
-		version, err = b.opts.Store.Put(ctx, k, c.Version, value)
+	ops := []platform.Op{{Key: k, Version: c.Version, Value: value}}
+	if c.Version == 0 && b.opts.Exclude != nil {
+		ops = append(ops, platform.Op{Key: b.opts.Exclude(c.Account, c.Key), Absent: true})
+	}
+	err = b.guard(ctx, "claim", k, func() error {
+		versions, err := b.opts.Store.Commit(ctx, ops)
+		if err == nil {
+			version = versions[0]
+		}
 		return err
 	})
 	return version, err
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -23,9 +23,9 @@
 // hanging is a store that takes calls and never answers.
 type hanging struct{ claim.Store }
 
-func (hanging) Put(ctx context.Context, key string, _ uint64, _ []byte) (uint64, error) {
+func (hanging) Commit(ctx context.Context, ops []platform.Op) ([]uint64, error) {
 	<-ctx.Done()
-	return 0, &platform.Error{Op: "put", Key: key, Kind: platform.Ambiguous, Err: ctx.Err()}
+	return nil, &platform.Error{Op: "commit", Key: ops[0].Key, Kind: platform.Ambiguous, Err: ctx.Err()}
 }
 
 var _ = Describe("a book of claims", func() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/chestnutsail/chestnutsail/expiry"
 	"github.com/chestnutsail/chestnutsail/instances"
 	"github.com/chestnutsail/chestnutsail/kernel"
+	"github.com/chestnutsail/chestnutsail/ledger"
 	"github.com/chestnutsail/chestnutsail/listing"
 	"github.com/chestnutsail/chestnutsail/operator"
 	"github.com/chestnutsail/chestnutsail/outcome"
@@ -127,7 +128,7 @@
 	row := listing.New(listing.Options{Platform: store, Row: e.row(), Log: e.log})
 	directory := instances.New(instances.Options{Source: store, Domain: s.Domain, Mesh: mesh, Clock: clk, Log: e.log})
 	retries := budget.New(budget.Options{Clock: clk})
-	claims := claim.New(claim.Options{Store: store, Clock: clk, Budget: retries, Counters: count})
+	claims := claim.New(claim.Options{Store: store, Exclude: ledger.Key, Clock: clk, Budget: retries, Counters: count})
 	sweeper := expiry.New(expiry.Options{Book: claims, Log: e.log})
 	router := quick.New(quick.Options{
 		Workers: directory, Claims: claims, Counters: count, Budget: retries, Clock: clk, Log: e.log,
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/chestnutsail/chestnutsail/claim"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/config"
 	"github.com/chestnutsail/chestnutsail/counters"
@@ -29,7 +30,7 @@
 	name, domain := e.opts.Settings.Name, e.opts.Settings.Domain
 	var d *dispatch.Dispatcher
 	book := ledger.New(ledger.Options{
-		Store: p.store, Domain: domain, Clock: p.clock, Log: e.log,
+		Store: p.store, Exclude: claim.Key, Domain: domain, Clock: p.clock, Log: e.log,
 		Hint: func(domain string, entry ledger.Entry) { d.Hint(domain, entry) },
 	})
 	seat := term.New(term.Options{Store: p.store, Domain: domain, Name: name, Clock: p.clock, Log: e.log})
--- a/ledger/keys.go
+++ b/ledger/keys.go
@@ -16,7 +16,9 @@
 	expiries = "ended/"  // ended/DOMAIN/HOUR/ACCOUNT/KEY: a job that ended in that hour
 )
 
-func jobKey(account, key string) string { return jobs + account + "/" + key }
+// Key returns the key of the store that stands for a job from its submission to the
+// end of its retention.
+func Key(account, key string) string { return jobs + account + "/" + key }
 
 func liveKey(r job.Record) string { return lives + r.Domain + "/" + r.Spec.ID() }
 
--- /dev/null
+++ b/ledger/kinds_test.go
@@ -0,0 +1,57 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/claim"
+	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/ledger"
+	"github.com/chestnutsail/chestnutsail/outcome"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platformtest"
+)
+
+var _ = Describe("a key that is used for a job and for a quick request", func() {
+	It("belongs to one of them only", func() {
+		server := httptest.NewServer(platformtest.New(platformtest.Options{}))
+		DeferCleanup(server.Close)
+		store := platform.New(platform.Config{Address: server.URL})
+		claims := claim.New(claim.Options{Store: store, Exclude: ledger.Key})
+		jobs := ledger.New(ledger.Options{Store: store, Domain: "a", Exclude: claim.Key})
+		DeferCleanup(func() { Expect(jobs.Stop(context.Background())).To(Succeed()) })
+
+		const keys = 50
+		var all sync.WaitGroup
+		for i := range keys {
+			key := fmt.Sprint("k", i)
+			var claimed error
+			var submitted outcome.Outcome
+			all.Go(func() {
+				defer GinkgoRecover()
+				var both sync.WaitGroup
+				both.Go(func() {
+					_, claimed = claims.Take(context.Background(), claim.Claim{Account: "kulhar", Key: key, Hash: "h", Worker: "a-1", Attempt: 1})
+				})
+				both.Go(func() {
+					submitted = jobs.Submit(context.Background(), job.Spec{Account: "kulhar", Service: "reconcile", Key: key, Class: job.Batch})
+				})
+				both.Wait()
+				if claimed == nil {
+					Expect(submitted.Kind).To(Equal(outcome.NotRun))
+					Expect(submitted.Reason).To(Equal(outcome.KeyReused))
+					return
+				}
+				Expect(errors.Is(claimed, claim.ErrOtherKind)).To(BeTrue(), claimed.Error())
+				Expect(submitted.Kind).To(Equal(outcome.Accepted))
+			})
+		}
+		all.Wait()
+	})
+})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -56,6 +56,9 @@
 	// Hint tells the scheduler of a domain about a new or changed record. It must not
 	// block and may fail; nil means no hints.
 	Hint func(domain string, e Entry)
+	// Exclude returns a key of the store that must not exist when a job is recorded;
+	// nil means none.
+	Exclude func(account, key string) string
 	// Group is the number of store ops that may share a call; 0 means platform.MaxOps.
 	Group int
 	// Parallel is the number of calls in flight; 0 means 4.
@@ -116,9 +119,12 @@
 	own := stub{Token: rand.Text(), Hash: hash(s), Domain: l.opts.Domain}
 	r := job.Record{Spec: s, State: job.Waiting, Domain: l.opts.Domain, Submitted: l.opts.Clock.Now()}
 	ops := []platform.Op{
-		{Key: jobKey(s.Account, s.Key), Value: encode(own)},
+		{Key: Key(s.Account, s.Key), Value: encode(own)},
 		{Key: liveKey(r), Value: encode(r)},
 	}
+	if l.opts.Exclude != nil {
+		ops = append(ops, platform.Op{Key: l.opts.Exclude(s.Account, s.Key), Absent: true})
+	}
 	for unclear := false; ; {
 		versions, err := l.commit.do(ctx, ops)
 		switch platform.KindOf(err) {
@@ -130,6 +136,9 @@
 			if err == nil {
 				return l.repeated(s, own, standing)
 			}
+			if l.excluded(ctx, s) {
+				return outcome.Refuse(s.Key, outcome.KeyReused, 0, "the key was used for a quick request")
+			}
 			unclear = true
 		case platform.Refused:
 			if !unclear {
@@ -144,6 +153,15 @@
 	}
 }
 
+// excluded reports whether a request of another kind has the job's key.
+func (l *Ledger) excluded(ctx context.Context, s job.Spec) bool {
+	if l.opts.Exclude == nil {
+		return false
+	}
+	_, err := l.opts.Store.Get(ctx, l.opts.Exclude(s.Account, s.Key))
+	return err == nil
+}
+
 // repeated answers a submission under a key that stands already.
 func (l *Ledger) repeated(s job.Spec, own, standing stub) outcome.Outcome {
 	if standing.Hash != own.Hash {
@@ -222,7 +240,7 @@
 
 func (l *Ledger) stub(ctx context.Context, account, key string) (stub, uint64, error) {
 	var s stub
-	version, err := l.read(ctx, jobKey(account, key), &s)
+	version, err := l.read(ctx, Key(account, key), &s)
 	return s, version, err
 }
 
--- a/ledger/records.go
+++ b/ledger/records.go
@@ -104,7 +104,7 @@
 	r.Spec.Payload = nil
 	s.Ended = &r
 	ops := []platform.Op{
-		{Key: jobKey(r.Spec.Account, r.Spec.Key), Version: version, Value: encode(s)},
+		{Key: Key(r.Spec.Account, r.Spec.Key), Version: version, Value: encode(s)},
 		{Key: liveKey(r), Version: e.Version, Delete: true},
 		{Key: expiryKey(r), Value: []byte("{}")},
 	}
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -42,7 +42,7 @@
 	account, key, _ := strings.Cut(id, "/")
 	s, version, err := l.stub(ctx, account, key)
 	if err == nil && s.Ended != nil && expiryKey(*s.Ended) == expiry {
-		ops = append(ops, platform.Op{Key: jobKey(account, key), Version: version, Delete: true})
+		ops = append(ops, platform.Op{Key: Key(account, key), Version: version, Delete: true})
 	}
 	_, err = l.commit.do(ctx, ops)
 	return err
--- a/platformtest/kv.go
+++ b/platformtest/kv.go
@@ -87,15 +87,15 @@
 	}
 	s.index++
 	for _, op := range ops {
-		p := pair{Key: op.KV.Key, Value: op.KV.Value, ModifyIndex: s.index}
-		if op.KV.Verb == "delete-cas" {
+		switch op.KV.Verb {
+		case "check-not-exists":
+		case "delete-cas":
 			delete(s.pairs, op.KV.Key)
 			s.deleted[op.KV.Key] = s.index
-		} else {
-			s.pairs[op.KV.Key] = p
+		default:
+			s.pairs[op.KV.Key] = pair{Key: op.KV.Key, Value: op.KV.Value, ModifyIndex: s.index}
+			results = append(results, txnResult{KV: pair{Key: op.KV.Key, ModifyIndex: s.index}})
 		}
-		p.Value = nil
-		results = append(results, txnResult{KV: p})
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/quick/once.go
+++ b/quick/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/chestnutsail/chestnutsail/claim"
 	"github.com/chestnutsail/chestnutsail/clock"
@@ -192,6 +193,9 @@
 // unclaimed returns the outcome when the claim could not be made or read.
 func (o *once) unclaimed(err error) outcome.Outcome {
 	s := o.spec
+	if errors.Is(err, claim.ErrOtherKind) {
+		return outcome.Refuse(s.Key, outcome.KeyReused, 0, "the key was used for a job")
+	}
 	switch platform.KindOf(err) {
 	case platform.Refused:
 		if !o.read {
--- a/quick/world_test.go
+++ b/quick/world_test.go
@@ -197,18 +197,14 @@
 	client  *platform.Client
 }
 
-func (s *shakyStore) Commit(ctx context.Context, ops []platform.Op) ([]uint64, error) {
-	return s.client.Commit(ctx, ops)
-}
-
 func (s *shakyStore) List(ctx context.Context, prefix string) ([]platform.Entry, uint64, error) {
 	return s.client.List(ctx, prefix)
 }
 
-func (s *shakyStore) Put(ctx context.Context, key string, version uint64, value []byte) (uint64, error) {
+func (s *shakyStore) Commit(ctx context.Context, ops []platform.Op) ([]uint64, error) {
 	p, f := s.process, s.process.faults
-	fail := func(k platform.Kind, err error) (uint64, error) {
-		return 0, &platform.Error{Op: "put", Key: key, Kind: k, Err: err}
+	fail := func(k platform.Kind, err error) ([]uint64, error) {
+		return nil, &platform.Error{Op: "commit", Key: ops[0].Key, Kind: k, Err: err}
 	}
 	switch {
 	case !p.pause():
@@ -217,13 +213,13 @@
 		return fail(platform.Refused, errShaken)
 	case p.odds(f.late):
 		time.AfterFunc(p.span(time.Millisecond, 500*time.Millisecond), func() {
-			_, _ = s.client.Put(context.Background(), key, version, value)
+			_, _ = s.client.Commit(context.Background(), ops)
 		})
 		return fail(platform.Ambiguous, errShaken)
 	}
-	next, err := s.client.Put(ctx, key, version, value)
+	next, err := s.client.Commit(ctx, ops)
 	if err == nil {
-		p.world.remember(platform.Entry{Key: key, Value: value, Version: next})
+		p.world.remember(platform.Entry{Key: ops[0].Key, Value: ops[0].Value, Version: next[0]})
 	}
 	if p.odds(f.die) {
 		p.kill()
