settings, entry: set the store's share, the lease and the renewals by flag

Cause: an entry's share of the store's rate was a constant of 25 writes and 180 reads a second, right for nine entries only, and leases had no setting. Ruled out: deriving the share from the live entries (a cut would raise each side's share to the whole rate). Defaults are as before: 25, 180, 40 s, 15 s.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,9 +43,6 @@
 const (
 	readHeaderTimeout = 5 * clock.Second
 	resignTime        = 2 * clock.Second
-	// storeWrites and storeReads are one entry's share of the store's rate, in calls a second.
-	storeWrites = 25
-	storeReads  = 180
 )
 
 // Options configures an Entry.
@@ -122,7 +119,7 @@
 	clk := clock.New()
 	count := counters.New()
 	tokens := token.New(s.Secret, s.Previous)
-	store := platform.New(platform.Config{Address: s.Store, Writes: storeWrites, Reads: storeReads, Clock: clk})
+	store := platform.New(platform.Config{Address: s.Store, Writes: float64(s.Writes), Reads: float64(s.Reads), Clock: clk})
 	mesh := e.mesh(meshParts{store: store, tokens: tokens, counters: count, clock: clk})
 	holder := config.New(config.Options{Store: store, Peers: mesh, Check: check.Text, Clock: clk, Log: e.log})
 	row := listing.New(listing.Options{Platform: store, Row: e.row(), Log: e.log})
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -6,6 +6,7 @@
 	"github.com/chestnutsail/chestnutsail/config"
 	"github.com/chestnutsail/chestnutsail/counters"
 	"github.com/chestnutsail/chestnutsail/dispatch"
+	"github.com/chestnutsail/chestnutsail/gang"
 	"github.com/chestnutsail/chestnutsail/instances"
 	"github.com/chestnutsail/chestnutsail/ledger"
 	"github.com/chestnutsail/chestnutsail/platform"
@@ -36,11 +37,12 @@
 	seat := term.New(term.Options{Store: p.store, Domain: domain, Name: name, Clock: p.clock, Log: e.log})
 	d = dispatch.New(dispatch.Options{
 		Name: name, Domain: domain, Ledger: book, Seat: seat, Texts: p.holder, Mesh: p.mesh,
-		Workers:  func() []dispatch.Worker { return listed(p.directory) },
-		Counters: p.counters, Clock: p.clock, Log: e.log,
+		Workers: func() []dispatch.Worker { return listed(p.directory) },
+		Times:   gang.Times{Lease: e.opts.Settings.Lease}, Counters: p.counters, Clock: p.clock, Log: e.log,
 	})
 	renewals := renewer.New(renewer.Options{
-		Name: name, Line: d, Clock: p.clock, Log: e.log, Term: func() int64 { return highest(seat, d) },
+		Name: name, Line: d, Period: e.opts.Settings.Renew, Lease: e.opts.Settings.Lease,
+		Clock: p.clock, Log: e.log, Term: func() int64 { return highest(seat, d) },
 		Workers: func() []renewer.Target { return targets(p.directory) },
 		Entries: func() []string { return names(d.Peers()) },
 	})
--- a/settings/row.go
+++ b/settings/row.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -128,6 +129,29 @@
 	}
 }
 
+// count is a whole number from least to most; 0 stands for the default.
+func count(flag string, p *int, fallback, least, most int, help string) row {
+	return row{
+		flag: flag, fallback: strconv.Itoa(fallback), allowed: fmt.Sprintf("a number from %d to %d", least, most), help: help,
+		set: func(v string) bool {
+			n, err := strconv.Atoi(v)
+			*p = n
+			return err == nil && n >= least && n <= most
+		},
+		fill: func() {
+			if *p == 0 {
+				*p = fallback
+			}
+		},
+		check: func() []string {
+			if *p >= least && *p <= most {
+				return nil
+			}
+			return []string{strconv.Itoa(*p)}
+		},
+	}
+}
+
 // span is a time such as 500ms or 10s, from least to most; 0 stands for the default.
 func span(flag string, p *clock.Millis, fallback, least, most clock.Millis, help string) row {
 	return row{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,6 +45,13 @@
 	Linger clock.Millis
 	// Drain bounds the time in milliseconds for finishing work at a stop.
 	Drain clock.Millis
+	// Writes and Reads are this instance's share of the store's rate, in calls a second.
+	Writes int
+	Reads  int
+	// Lease is how long in milliseconds a running gang's part goes on unrenewed; Renew
+	// is the time between two renewals of a worker.
+	Lease clock.Millis
+	Renew clock.Millis
 
 	unread []Fault
 }
@@ -64,6 +71,10 @@
 		choice("level", &s.Level, "Least level that is logged.", "info", "debug", "warn", "error"),
 		span("linger", &s.Linger, 4*clock.Second, 0, clock.Minute, "Time for which a stopping instance takes new work, until the balancer has learned."),
 		span("drain", &s.Drain, 30*clock.Second, clock.Second, 10*clock.Minute, "Longest time for finishing work at a stop."),
+		count("writes", &s.Writes, 25, 1, 10000, "Share of the store's writes a second that this instance may use."),
+		count("reads", &s.Reads, 180, 10, 100000, "Share of the store's reads a second that this instance may use."),
+		span("lease", &s.Lease, 40*clock.Second, 2*clock.Second, 10*clock.Minute, "Time for which a running part of a gang goes on without a renewal."),
+		span("renew", &s.Renew, 15*clock.Second, 500*clock.Millisecond, 5*clock.Minute, "Time between two renewals of a worker; at most half of --lease."),
 	}
 }
 
@@ -139,6 +150,9 @@
 			faults = append(faults, Fault{r.flag, wrong, r.allowed})
 		}
 	}
+	if !hasFault(faults, "lease") && !hasFault(faults, "renew") && 2*s.Renew > s.Lease {
+		faults = append(faults, Fault{"renew", s.Renew.String(), "at most half of --lease, which is " + s.Lease.String()})
+	}
 	if len(faults) > 0 {
 		return &Error{faults}
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,6 +50,21 @@
 		Expect(err.Error()).NotTo(ContainSubstring("short"))
 	})
 
+	DescribeTable("bounds numbers, and renewals by the lease",
+		func(arg, flag string) {
+			_, err := parse(append(good, arg)...)
+			var e *settings.Error
+			Expect(errors.As(err, &e)).To(BeTrue())
+			Expect(e.Faults).To(HaveLen(1))
+			Expect(e.Faults[0].Flag).To(Equal(flag))
+		},
+		Entry("no number", "--writes=many", "writes"),
+		Entry("too few writes", "--writes=-1", "writes"),
+		Entry("too many reads", "--reads=100001", "reads"),
+		Entry("a lease that the renewals outlast", "--lease=29s", "renew"),
+		Entry("renewals too rare for the lease", "--renew=21s", "renew"),
+	)
+
 	It("reads every flag from its environment variable, which the flag overrides", func() {
 		for _, s := range settings.Table() {
 			Expect(os.Setenv(s.Variable, "x")).To(Succeed())
