instances: read the whole list again every 2 minutes instead of every 10 s

Cause: at 240 workers a domain the repeated reading of an unchanged list was 4.7 of the 6.2 KB/s that an idle entry exchanged with the store, against 2 KB/s a node. Ruled out: a wait of 5 minutes (a watch that hangs unnoticed would leave the list that old); a separate loop for the probes of vanished workers (while any is missing the list is read without a wait, so the probes are not held up). Change: a watch of the list is held for 2 minutes.

--- a/instances/instances.go
+++ b/instances/instances.go
@@ -31,7 +31,7 @@
 	defaultKeep   = 30 * clock.Second
 	defaultHint   = clock.Minute
 	// listWait bounds one watch of the list, in milliseconds.
-	listWait     = 10 * clock.Second
+	listWait     = 2 * clock.Minute
 	probeTimeout = clock.Second
 	maxProbes    = 16
 	// deadAfter is the number of calls in a row without an answer that show a worker dead.
