scheduler: let quick checks stop their own account's slower borrowers

Change: a quick check that fits nowhere takes the place of slower stoppable work that its own account borrows.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -107,7 +107,7 @@
 		if !c.withinQuota(w) {
 			continue
 		}
-		if c.placeOutside(w) || !w.needsAccels() && c.placeOwn(w) || c.placeBorrow(w) {
+		if c.placeOutside(w) || !w.needsAccels() && c.placeOwn(w) || c.placeBorrow(w) || c.placeQuick(w) {
 			return i
 		}
 		if w.plain() {
@@ -117,6 +117,17 @@
 	return i
 }
 
+// placeQuick starts a quick check on what its own account borrows for slower work.
+func (c *Core) placeQuick(w *work) bool {
+	if w.rank.Tier != queue.Quick {
+		return false
+	}
+	slower := func(v *work) bool {
+		return v.acct == w.acct && v.mode == borrow && v.spec().Stoppable() && v.rank.Tier > queue.Quick
+	}
+	return c.placeOver(w, slower, CauseReclaim)
+}
+
 // placeUrgent starts urgent work wherever it may run, and stops less urgent work
 // for it.
 func (c *Core) placeUrgent(w *work) bool {
