--- a/cmd/chestnutsail/main.go
+++ b/cmd/chestnutsail/main.go
@@ -16,7 +16,7 @@
 Exit codes: 0 done or accepted, 1 failed, 2 bad input, 3 refused and not run,
 4 unknown, 5 conflict with another change.`
 
-// usage is kingpin's template with the examples of the chosen command.
+// usage is kingpin's template with the examples of the command at hand.
 var usage = strings.Replace(kingpin.DefaultUsageTemplate, "{{if .Context.Flags -}}",
 	"{{if .Context.SelectedCommand}}{{if .Context.SelectedCommand.HelpLong}}Examples:\n{{.Context.SelectedCommand.HelpLong}}\n{{end}}{{end -}}\n{{if .Context.Flags -}}", 1)
 
--- a/reclaim/reclaim.go
+++ b/reclaim/reclaim.go
@@ -1,5 +1,5 @@
 // Package reclaim picks the gangs that have to leave so that others get the
-// workers they are guaranteed. Gangs leave whole, and the set that is picked loses
+// workers they are guaranteed. Gangs leave whole, and the set that is selected loses
 // little work.
 //
 // # Usage
