home, ledger: send a job to the failure domain where it can run

Cause: a job went to the domain of the entry that accepted it, whatever the balancer had picked: work that can't be stopped, with its guarantee in another domain, was ended as no_guarantee, and a shape that only a larger domain holds as impossible_shape. Ruled out: asking the other schedulers at each submission (a call between domains on the path of every job); a domain in the caller's request (callers don't know where guarantees were assigned). Change: package home asks a core of each domain of the text, which has seen no workers: a reachable domain whose guarantee holds the job, else the own domain, else any that can run it; a job that can run in none is refused at the door before anything is written. A domain that is cut off is not waited for if the job can run here.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"slices"
+
 	"github.com/chestnutsail/chestnutsail/claim"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/config"
 	"github.com/chestnutsail/chestnutsail/counters"
 	"github.com/chestnutsail/chestnutsail/dispatch"
 	"github.com/chestnutsail/chestnutsail/gang"
+	"github.com/chestnutsail/chestnutsail/home"
 	"github.com/chestnutsail/chestnutsail/instances"
 	"github.com/chestnutsail/chestnutsail/ledger"
 	"github.com/chestnutsail/chestnutsail/platform"
@@ -30,7 +33,15 @@
 func (e *Entry) jobs(p jobParts) *ledger.Ledger {
 	name, domain := e.opts.Settings.Name, e.opts.Settings.Domain
 	var d *dispatch.Dispatcher
+	homes := home.New(home.Options{
+		Domain: domain, Texts: p.holder,
+		Live: func(domain string) bool {
+			leads := func(x dispatch.Peer) bool { return x.Domain == domain && x.Leads }
+			return slices.ContainsFunc(p.mesh.Peers(), leads)
+		},
+	})
 	book := ledger.New(ledger.Options{
+		Home:  homes.Pick,
 		Store: p.store, Exclude: claim.Key, Domain: domain, Clock: p.clock, Log: e.log,
 		Hint: func(domain string, entry ledger.Entry) { d.Hint(domain, entry) },
 	})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -51,8 +51,11 @@
 // Options configures a Ledger.
 type Options struct {
 	Store Store
-	// Domain is the failure domain that new jobs go to.
+	// Domain is the failure domain of the entry.
 	Domain string
+	// Home returns the failure domain for a new job, or why it can run in none; nil
+	// means Domain for all.
+	Home func(s job.Spec) (domain string, reason outcome.Reason)
 	// Hint tells the scheduler of a domain about a new or changed record. It must not
 	// block and may fail; nil means no hints.
 	Hint func(domain string, e Entry)
@@ -94,6 +97,9 @@
 	if opts.Retention == 0 {
 		opts.Retention = 7 * 24 * clock.Hour
 	}
+	if opts.Home == nil {
+		opts.Home = func(job.Spec) (string, outcome.Reason) { return opts.Domain, "" }
+	}
 	if opts.Hint == nil {
 		opts.Hint = func(string, Entry) {}
 	}
@@ -116,8 +122,12 @@
 func (l *Ledger) Submit(ctx context.Context, s job.Spec) outcome.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, settleTime.Duration())
 	defer cancel()
-	own := stub{Token: rand.Text(), Hash: hash(s), Domain: l.opts.Domain}
-	r := job.Record{Spec: s, State: job.Waiting, Domain: l.opts.Domain, Submitted: l.opts.Clock.Now()}
+	domain, reason := l.opts.Home(s)
+	own := stub{Token: rand.Text(), Hash: hash(s), Domain: domain}
+	if reason != "" {
+		return l.turnAway(ctx, s, own, reason)
+	}
+	r := job.Record{Spec: s, State: job.Waiting, Domain: domain, Submitted: l.opts.Clock.Now()}
 	ops := []platform.Op{
 		{Key: Key(s.Account, s.Key), Value: encode(own)},
 		{Key: liveKey(r), Value: encode(r)},
@@ -153,6 +163,19 @@
 	}
 }
 
+// turnAway refuses a job that can run nowhere, unless its key stands already.
+func (l *Ledger) turnAway(ctx context.Context, s job.Spec, own stub, reason outcome.Reason) outcome.Outcome {
+	standing, _, err := l.stub(ctx, s.Account, s.Key)
+	switch platform.KindOf(err) {
+	case platform.OK:
+		return l.repeated(s, own, standing)
+	case platform.Missing:
+		return outcome.Refuse(s.Key, reason, 0, "the job can run in no failure domain")
+	default:
+		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.StoreUnreachable, Account: s.Account, Key: s.Key, Retry: retryAfter}
+	}
+}
+
 // excluded reports whether a request of another kind has the job's key.
 func (l *Ledger) excluded(ctx context.Context, s job.Spec) bool {
 	if l.opts.Exclude == nil {
--- a/scheduler/door.go
+++ b/scheduler/door.go
@@ -7,6 +7,16 @@
 	"github.com/chestnutsail/chestnutsail/text"
 )
 
+// Admits reports whether a job fits its account's guarantee in the core's failure
+// domain, and why it can never run there, if it can't.
+func (c *Core) Admits(s job.Spec) (owns bool, reason outcome.Reason) {
+	reason, ok := c.admit(&s)
+	if !ok {
+		return false, reason
+	}
+	return s.Shape.Accelerators > 0 && c.everOwn(&s), ""
+}
+
 // admit reports whether a job can ever run, and if not why.
 func (c *Core) admit(s *job.Spec) (outcome.Reason, bool) {
 	if !c.everFits(s.Shape) {
