--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -98,10 +99,15 @@
 	}
 	rows := []string{"| command | what it does |", "|---|---|"}
 	lines := strings.Split(list, "\n")
-	for i := 0; i+1 < len(lines); i++ {
-		if m := commandLine.FindStringSubmatch(lines[i]); m != nil {
-			rows = append(rows, fmt.Sprintf("| `%s` | %s |", m[1], strings.TrimSpace(lines[i+1])))
+	for i, line := range lines {
+		m := commandLine.FindStringSubmatch(line)
+		if m == nil {
+			continue
 		}
+		// A long description is wrapped and ends at an empty line.
+		end := i + 1 + slices.Index(lines[i+1:], "")
+		help := strings.Join(strings.Fields(strings.Join(lines[i+1:end], " ")), " ")
+		rows = append(rows, fmt.Sprintf("| `%s` | %s |", m[1], help))
 	}
 	return rows
 }
