term, quick, dispatch, home: name things by the field's terms

Cause: seats that one sits on and rises from, nudges and hushed workers are figures of our own; the house style asks for the usual terms.

--- a/config/config.go
+++ b/config/config.go
@@ -71,7 +71,7 @@
 	now    atomic.Pointer[Snapshot]
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
-	nudge  chan struct{}
+	notify chan struct{}
 
 	mu       sync.Mutex
 	watchers []func(Snapshot)
@@ -90,7 +90,7 @@
 		opts.Log = logrus.NewEntry(logrus.StandardLogger())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Holder{opts: opts, cancel: cancel, nudge: make(chan struct{}, 1)}
+	h := &Holder{opts: opts, cancel: cancel, notify: make(chan struct{}, 1)}
 	h.now.Store(&Snapshot{Text: &text.Text{}})
 	h.tasks.Go(func() { h.follow(ctx) })
 	if opts.Peers != nil {
--- a/config/follow.go
+++ b/config/follow.go
@@ -103,7 +103,7 @@
 	})
 	h.opts.Peers.Watch(func(peer.Peer) {
 		select {
-		case h.nudge <- struct{}{}:
+		case h.notify <- struct{}{}:
 		default:
 		}
 	})
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.Duration())
 	defer cancel()
 	select {
-	case <-h.nudge:
+	case <-h.notify:
 	case <-ctx.Done():
 	}
 }
--- a/dispatch/carry.go
+++ b/dispatch/carry.go
@@ -86,7 +86,7 @@
 
 // hold waits until this entry's lease on the term is proven again.
 func (s *session) hold(g *gang.Gang) {
-	for !s.opts.Seat.Now().Leads && g.Wanted() {
+	for !s.opts.Election.Now().Leads && g.Wanted() {
 		if !clock.Sleep(s.ctx, leadPause) {
 			return
 		}
@@ -102,7 +102,7 @@
 	return gang.New(gang.Options{
 		Record: r, Term: s.term, Times: s.opts.Times, Clock: s.opts.Clock, Log: s.opts.Log,
 		Agent:  s.d.agent,
-		Leads:  func() bool { return s.opts.Seat.Now().Leads },
+		Leads:  func() bool { return s.opts.Election.Now().Leads },
 		Orphan: s.opts.Orphan, Foreign: foreign,
 		Commit: func(ctx context.Context, members []job.Member) error {
 			r.Members = members
@@ -191,7 +191,7 @@
 	j.gang = nil
 	j.unwritten = !r.Committed
 	if !worker.Answered(r.Err) {
-		s.hush(r.Worker)
+		s.suspend(r.Worker)
 	}
 	s.step(scheduler.Event{Kind: scheduler.Refused, ID: j.id, Attempt: j.attempt, Worker: r.Worker})
 	if errors.Is(r.Err, errCanceled) || errors.Is(r.Err, errGone) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	d := dispatch.New(dispatch.Options{Name: "e1", Domain: "a", Ledger: l, Seat: seat, Workers: workers, Texts: holder})
+//	d := dispatch.New(dispatch.Options{Name: "e1", Domain: "a", Ledger: l, Election: election, Workers: workers, Texts: holder})
 //	d.Hint("a", entry) // a record was written
 //	d.Stop(ctx)
 package dispatch
@@ -34,7 +34,7 @@
 	DefaultOrphan  = clock.Hour
 	tickPeriod     = clock.Second
 	sweepPeriod    = clock.Hour
-	nudgePeriod    = clock.Second
+	notifyPeriod   = clock.Second
 )
 
 const (
@@ -56,12 +56,12 @@
 	Write(ctx context.Context, e ledger.Entry) (ledger.Entry, error)
 	End(ctx context.Context, e ledger.Entry) (ledger.Entry, error)
 	Sweep(ctx context.Context, domain string) error
-	Nudge(ctx context.Context, domain string) error
-	Nudged(ctx context.Context, domain string, index uint64) (uint64, error)
+	Notify(ctx context.Context, domain string) error
+	Notified(ctx context.Context, domain string, index uint64) (uint64, error)
 }
 
-// Seat tells who leads the domain.
-type Seat interface {
+// Election tells who leads the domain.
+type Election interface {
 	Now() term.State
 	Changed() <-chan struct{}
 }
@@ -85,10 +85,10 @@
 // Options configures a Dispatcher.
 type Options struct {
 	// Name and Domain are this entry's.
-	Name   string
-	Domain string
-	Ledger Ledger
-	Seat   Seat
+	Name     string
+	Domain   string
+	Ledger   Ledger
+	Election Election
 	// Workers returns the listed workers of the domain in the order of their names.
 	Workers func() []Worker
 	Texts   Texts
@@ -119,8 +119,8 @@
 	done   sync.WaitGroup
 	hints  chan struct{}
 	known  entries
-	// nudged is when this entry last told a scheduler through the store.
-	nudged atomic.Int64
+	// notified is when this entry last told a scheduler through the store.
+	notified atomic.Int64
 
 	mu      sync.Mutex
 	session *session
@@ -168,8 +168,8 @@
 // follow leads a session in each term that this entry holds.
 func (d *Dispatcher) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := d.opts.Seat.Changed()
-		now := d.opts.Seat.Now()
+		changed := d.opts.Election.Changed()
+		now := d.opts.Election.Now()
 		if !now.Leads {
 			wait(ctx, changed, 100*clock.Millisecond)
 			continue
@@ -185,8 +185,8 @@
 	s := newSession(ctx, d, number)
 	d.done.Go(func() {
 		for ctx.Err() == nil {
-			changed := d.opts.Seat.Changed()
-			if now := d.opts.Seat.Now(); now.Term != number || now.Holder != d.opts.Name {
+			changed := d.opts.Election.Changed()
+			if now := d.opts.Election.Now(); now.Term != number || now.Holder != d.opts.Name {
 				cancel()
 				return
 			}
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -29,15 +29,15 @@
 	return []job.Spec{again, once}
 }
 
-// fakeSeat always leads under its term.
-type fakeSeat struct {
+// fakeElection always leads under its term.
+type fakeElection struct {
 	name string
 	term int64
 }
 
-func (s fakeSeat) Now() term.State { return term.State{Term: s.term, Holder: s.name, Leads: true} }
+func (s fakeElection) Now() term.State { return term.State{Term: s.term, Holder: s.name, Leads: true} }
 
-func (fakeSeat) Changed() <-chan struct{} { return nil }
+func (fakeElection) Changed() <-chan struct{} { return nil }
 
 func bg() context.Context { return context.Background() }
 
@@ -63,8 +63,8 @@
 			rnd := rand.New(rand.NewPCG(uint64(seed), 1))
 			var entries []*entry
 			for i := range 2 {
-				seat := fakeSeat{fmt.Sprint("e", i), int64(i + 1)}
-				entries = append(entries, d.join(seat.name, func(o *dispatch.Options) { o.Seat = seat }))
+				election := fakeElection{fmt.Sprint("e", i), int64(i + 1)}
+				entries = append(entries, d.join(election.name, func(o *dispatch.Options) { o.Election = election }))
 			}
 			var specs []job.Spec
 			for i := range 12 {
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -61,15 +61,15 @@
 
 // entry is the jobs' part of one entry.
 type entry struct {
-	domain *domain
-	name   string
-	wire   *wire
-	ledger *ledger.Ledger
-	seat   *term.Seat
-	disp   *dispatch.Dispatcher
-	renew  *renewer.Renewer
-	leader dispatch.Seat
-	agents []dispatch.Worker
+	domain   *domain
+	name     string
+	wire     *wire
+	ledger   *ledger.Ledger
+	election *term.Election
+	disp     *dispatch.Dispatcher
+	renew    *renewer.Renewer
+	leader   dispatch.Election
+	agents   []dispatch.Worker
 
 	mu       sync.Mutex
 	handlers map[string]func(context.Context, string, []byte) ([]byte, error)
@@ -181,15 +181,15 @@
 	logger := log.WithField("entry", name)
 	store := platform.New(platform.Config{Address: d.storeURL, Transport: e.wire, Timeout: clock.Second})
 	e.ledger = ledger.New(ledger.Options{Store: store, Domain: "a", Log: logger, Hint: func(domain string, r ledger.Entry) { e.disp.Hint(domain, r) }})
-	e.seat = term.New(term.Options{Store: store, Domain: "a", Name: name, Period: termPeriod, Lapse: termLapse, Log: logger})
+	e.election = term.New(term.Options{Store: store, Domain: "a", Name: name, Period: termPeriod, Lapse: termLapse, Log: logger})
 	opts := dispatch.Options{
-		Name: name, Domain: "a", Ledger: e.ledger, Seat: e.seat, Texts: e, Mesh: e, Log: logger,
+		Name: name, Domain: "a", Ledger: e.ledger, Election: e.election, Texts: e, Mesh: e, Log: logger,
 		Workers: func() []dispatch.Worker { return e.agents }, Times: times, Listing: clock.Second, Orphan: 2 * clock.Second,
 	}
 	for _, f := range set {
 		f(&opts)
 	}
-	e.leader = opts.Seat
+	e.leader = opts.Election
 	e.disp = dispatch.New(opts)
 	e.renew = renewer.New(renewer.Options{
 		Name: name, Line: e.disp, Term: e.highest, Log: logger,
@@ -223,7 +223,7 @@
 	ctx := context.Background()
 	_ = e.renew.Stop(ctx)
 	_ = e.disp.Stop(ctx)
-	_ = e.seat.Stop(ctx)
+	_ = e.election.Stop(ctx)
 	_ = e.ledger.Stop(ctx)
 }
 
@@ -287,7 +287,7 @@
 // leads waits until the entry leads the domain.
 func (e *entry) leads() {
 	GinkgoHelper()
-	Eventually(func() bool { return e.seat.Now().Leads }).WithTimeout(10 * time.Second).WithPolling(10 * time.Millisecond).Should(BeTrue())
+	Eventually(func() bool { return e.election.Now().Leads }).WithTimeout(10 * time.Second).WithPolling(10 * time.Millisecond).Should(BeTrue())
 }
 
 // ends waits until a job has ended and returns its outcome.
--- a/dispatch/line.go
+++ b/dispatch/line.go
@@ -128,7 +128,7 @@
 	var name string
 	var highest int64
 	if domain == d.opts.Domain {
-		now := d.opts.Seat.Now()
+		now := d.opts.Election.Now()
 		name, highest = now.Holder, now.Term
 	}
 	if d.opts.Mesh == nil {
@@ -156,23 +156,23 @@
 		defer cancel()
 		if err := d.tell(ctx, domain, methodHint, e, func() error { return d.hinted(ctx, e) }); err != nil {
 			d.opts.Log.WithError(err).Debug("dispatch: hint not delivered")
-			d.nudge(domain)
+			d.notify(domain)
 		}
 	}()
 }
 
-// nudge tells the scheduler of a domain through the store, at most once in a period.
-// A nudge within the period waits for its end and stands for those that follow.
-func (d *Dispatcher) nudge(domain string) {
-	now, last := int64(d.opts.Clock.Now()), d.nudged.Load()
-	if last > now || !d.nudged.CompareAndSwap(last, max(now, last+int64(nudgePeriod))) {
+// notify tells the scheduler of a domain through the store, at most once in a period.
+// A notify within the period waits for its end and stands for those that follow.
+func (d *Dispatcher) notify(domain string) {
+	now, last := int64(d.opts.Clock.Now()), d.notified.Load()
+	if last > now || !d.notified.CompareAndSwap(last, max(now, last+int64(notifyPeriod))) {
 		return
 	}
-	time.Sleep(clock.Millis(max(last+int64(nudgePeriod)-now, 0)).Duration())
+	time.Sleep(clock.Millis(max(last+int64(notifyPeriod)-now, 0)).Duration())
 	ctx, cancel := context.WithTimeout(context.Background(), callTime.Duration())
 	defer cancel()
-	if err := d.opts.Ledger.Nudge(ctx, domain); err != nil {
-		d.opts.Log.WithError(err).Debug("dispatch: scheduler not nudged")
+	if err := d.opts.Ledger.Notify(ctx, domain); err != nil {
+		d.opts.Log.WithError(err).Debug("dispatch: scheduler not notified")
 	}
 }
 
--- a/dispatch/recover.go
+++ b/dispatch/recover.go
@@ -130,7 +130,7 @@
 				s.broken(j, e.Worker)
 			}
 		}
-		s.hush(e.Worker)
+		s.suspend(e.Worker)
 		return
 	}
 	for _, t := range e.Tasks {
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -186,8 +186,8 @@
 	s.step(scheduler.Event{Kind: scheduler.WorkerGone, Worker: name})
 }
 
-// hush takes a worker that did not answer away from the core until it answers again.
-func (s *session) hush(name string) {
+// suspend takes a worker that did not answer away from the core until it answers again.
+func (s *session) suspend(name string) {
 	if _, silent := s.silent[name]; silent || name == "" {
 		return
 	}
@@ -292,9 +292,9 @@
 func (s *session) heed() {
 	var index uint64
 	for s.ctx.Err() == nil {
-		next, err := s.opts.Ledger.Nudged(s.ctx, s.opts.Domain, index)
+		next, err := s.opts.Ledger.Notified(s.ctx, s.opts.Domain, index)
 		if err != nil {
-			clock.Sleep(s.ctx, nudgePeriod)
+			clock.Sleep(s.ctx, notifyPeriod)
 			continue
 		}
 		if next != index {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -45,15 +45,15 @@
 		Store: p.store, Exclude: claim.Key, Domain: domain, Clock: p.clock, Log: e.log,
 		Hint: func(domain string, entry ledger.Entry) { d.Hint(domain, entry) },
 	})
-	seat := term.New(term.Options{Store: p.store, Domain: domain, Name: name, Clock: p.clock, Log: e.log})
+	election := term.New(term.Options{Store: p.store, Domain: domain, Name: name, Clock: p.clock, Log: e.log})
 	d = dispatch.New(dispatch.Options{
-		Name: name, Domain: domain, Ledger: book, Seat: seat, Texts: p.holder, Mesh: p.mesh,
+		Name: name, Domain: domain, Ledger: book, Election: election, Texts: p.holder, Mesh: p.mesh,
 		Workers: func() []dispatch.Worker { return listed(p.directory) },
 		Times:   gang.Times{Lease: e.opts.Settings.Lease}, Counters: p.counters, Clock: p.clock, Log: e.log,
 	})
 	renewals := renewer.New(renewer.Options{
 		Name: name, Line: d, Period: e.opts.Settings.Renew, Lease: e.opts.Settings.Lease,
-		Clock: p.clock, Log: e.log, Term: func() int64 { return highest(seat, d) },
+		Clock: p.clock, Log: e.log, Term: func() int64 { return highest(election, d) },
 		Workers: func() []renewer.Target { return targets(p.directory) },
 		Entries: func() []string { return names(d.Peers()) },
 	})
@@ -61,11 +61,11 @@
 	e.kernel.Add("ledger", book)
 	e.kernel.Add("dispatch", d)
 	e.kernel.Add("renewer", renewals)
-	// The seat stops first, so that another entry takes the domain over at once.
-	e.kernel.Add("term", seat)
-	e.kernel.Add("herald", newHerald(seat, p.mesh.Announce))
+	// The election stops first, so that another entry takes the domain over at once.
+	e.kernel.Add("term", election)
+	e.kernel.Add("herald", newHerald(election, p.mesh.Announce))
 	e.kernel.Add("reconcile", reconcile.New(reconcile.Options{
-		Domain: domain, Leads: func() bool { return seat.Now().Leads }, Texts: p.holder, Jobs: replicas{book, p.directory},
+		Domain: domain, Leads: func() bool { return election.Now().Leads }, Texts: p.holder, Jobs: replicas{book, p.directory},
 		Store: p.store, Clock: p.clock, Log: e.log,
 	}))
 	return book
@@ -99,8 +99,8 @@
 }
 
 // highest returns the highest term of the domain that this entry or a peer knows.
-func highest(seat *term.Seat, d *dispatch.Dispatcher) int64 {
-	t := seat.Now().Term
+func highest(election *term.Election, d *dispatch.Dispatcher) int64 {
+	t := election.Now().Term
 	for _, p := range d.Peers() {
 		t = max(t, p.Term)
 	}
--- a/entry/mesh.go
+++ b/entry/mesh.go
@@ -100,14 +100,14 @@
 	done   chan struct{}
 }
 
-func newHerald(seat *term.Seat, tell func(leads bool, term int64)) *herald {
+func newHerald(election *term.Election, tell func(leads bool, term int64)) *herald {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &herald{cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(h.done)
 		for ctx.Err() == nil {
-			changed := seat.Changed()
-			now := seat.Now()
+			changed := election.Changed()
+			now := election.Now()
 			tell(now.Leads, now.Term)
 			wait, stop := context.WithTimeout(ctx, announceEvery.Duration())
 			select {
--- a/home/home.go
+++ b/home/home.go
@@ -40,12 +40,12 @@
 
 	mu       sync.Mutex
 	revision uint64
-	// doors are the failure domains of the text, the entry's own first.
-	doors []door
+	// cores are the failure domains of the text, the entry's own first.
+	cores []domainCore
 }
 
-// door is a failure domain with a core that has seen the text and no workers.
-type door struct {
+// domainCore is a failure domain with a core that has seen the text and no workers.
+type domainCore struct {
 	domain string
 	core   *scheduler.Core
 }
@@ -60,7 +60,7 @@
 	defer p.mu.Unlock()
 	p.learn()
 	possible := ""
-	for _, d := range p.doors {
+	for _, d := range p.cores {
 		owns, why := d.core.Admits(s)
 		switch {
 		case owns && p.live(d.domain):
@@ -87,11 +87,11 @@
 	if now.Revision == p.revision {
 		return
 	}
-	p.revision, p.doors = now.Revision, nil
+	p.revision, p.cores = now.Revision, nil
 	for _, domain := range domains(now.Text, p.opts.Domain) {
 		core := scheduler.New(scheduler.Options{Domain: domain})
 		core.Step(0, scheduler.Event{Kind: scheduler.Text, Text: now.Text})
-		p.doors = append(p.doors, door{domain, core})
+		p.cores = append(p.cores, domainCore{domain, core})
 	}
 }
 
--- a/ledger/nudge.go
+++ b/ledger/notify.go
@@ -8,16 +8,16 @@
 	"github.com/chestnutsail/chestnutsail/platform"
 )
 
-// nudges is the prefix of the keys that tell a domain's scheduler to look for new
+// notices is the prefix of the keys that tell a domain's scheduler to look for new
 // records: hint/DOMAIN.
-const nudges = "hint/"
+const notices = "hint/"
 
-const nudgeWait = 30 * clock.Second
+const notifyWait = 30 * clock.Second
 
-// Nudge tells the scheduler of a domain through the store that records have
+// Notify tells the scheduler of a domain through the store that records have
 // changed. It is for entries that can't reach the scheduler.
-func (l *Ledger) Nudge(ctx context.Context, domain string) error {
-	key := nudges + domain
+func (l *Ledger) Notify(ctx context.Context, domain string) error {
+	key := notices + domain
 	e, err := l.opts.Store.Get(ctx, key)
 	if err != nil && platform.KindOf(err) != platform.Missing {
 		return err
@@ -30,9 +30,9 @@
 	return err
 }
 
-// Nudged waits until the domain is nudged past index, or for 30 s, and returns the
+// Notified waits until the domain is notified past index, or for 30 s, and returns the
 // index to wait from next.
-func (l *Ledger) Nudged(ctx context.Context, domain string, index uint64) (uint64, error) {
-	_, next, err := l.opts.Store.Watch(ctx, nudges+domain, index, nudgeWait)
+func (l *Ledger) Notified(ctx context.Context, domain string, index uint64) (uint64, error) {
+	_, next, err := l.opts.Store.Watch(ctx, notices+domain, index, notifyWait)
 	return next, err
 }
--- a/quick/answer.go
+++ b/quick/answer.go
@@ -12,15 +12,15 @@
 // errCrossed means that an answer was for another request or attempt, or not whole.
 var errCrossed = errors.New("quick: the answer does not belong to the request")
 
-// send sends one attempt to the worker of a seat and gives the seat back.
-func (r *Router) send(ctx context.Context, at *seat, service string, t worker.Task) (worker.Task, error) {
+// send sends one attempt to the worker of a conn and gives the conn back.
+func (r *Router) send(ctx context.Context, at *conn, service string, t worker.Task) (worker.Task, error) {
 	started := r.opts.Clock.Now()
 	out, err := at.Client.Run(ctx, t)
 	if err == nil && !answers(t, out) {
 		r.opts.Counters.Counter(crossedAnswers).Inc()
 		err = &worker.Error{Op: "run", Address: at.Address, Sent: true, Err: errCrossed}
 	}
-	at.rise(service, out, err)
+	at.release(service, out, err)
 	if err == nil {
 		r.opts.Budget.Succeed()
 		r.paces.note(service, r.opts.Clock.Now()-started)
--- a/quick/fleet.go
+++ b/quick/fleet.go
@@ -55,8 +55,8 @@
 	worker string
 }
 
-// seat is one connection of a worker that a request holds.
-type seat struct {
+// conn is one connection of a worker that a request holds.
+type conn struct {
 	*instances.Worker
 	fleet *fleet
 	done  func(breaker.Result)
@@ -124,10 +124,10 @@
 	}
 }
 
-// sit takes a connection of the less loaded of two random workers that were not
+// acquire takes a connection of the less loaded of two random workers that were not
 // tried. Workers that said they were full a moment ago come last, and those in
 // quarantine only as probes.
-func (f *fleet) sit(tried map[string]bool) (*seat, bool) {
+func (f *fleet) acquire(tried map[string]bool) (*conn, bool) {
 	list := f.opts.Workers.Workers()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -155,7 +155,7 @@
 }
 
 // draw takes the less loaded of two random workers if it can be used.
-func (f *fleet) draw(list []*instances.Worker, tried map[string]bool) (*seat, bool) {
+func (f *fleet) draw(list []*instances.Worker, tried map[string]bool) (*conn, bool) {
 	if len(list) == 0 {
 		return nil, false
 	}
@@ -180,14 +180,14 @@
 }
 
 // take takes a connection of a worker unless it is in quarantine.
-func (f *fleet) take(w *instances.Worker) (*seat, bool) {
+func (f *fleet) take(w *instances.Worker) (*conn, bool) {
 	st := f.state(w)
 	done, ok := st.health.Allow()
 	if !ok {
 		return nil, false
 	}
 	st.inFlight++
-	return &seat{Worker: w, fleet: f, done: done}, true
+	return &conn{Worker: w, fleet: f, done: done}, true
 }
 
 // state returns what is known of a worker. The caller holds mu.
@@ -213,8 +213,8 @@
 	})
 }
 
-// rise gives the connection back with what the worker's answer showed.
-func (s *seat) rise(service string, t worker.Task, err error) {
+// release gives the connection back with what the worker's answer showed.
+func (s *conn) release(service string, t worker.Task, err error) {
 	f := s.fleet
 	f.mu.Lock()
 	st := f.state(s.Worker)
@@ -232,7 +232,7 @@
 }
 
 // free gives the connection back without a call having been made.
-func (s *seat) free() {
+func (s *conn) free() {
 	s.fleet.mu.Lock()
 	st := s.fleet.state(s.Worker)
 	st.inFlight = max(st.inFlight-1, 0)
@@ -262,7 +262,7 @@
 }
 
 // incarnation returns the name of the worker's process, asking for it once.
-func (s *seat) incarnation(ctx context.Context) (string, error) {
+func (s *conn) incarnation(ctx context.Context) (string, error) {
 	f := s.fleet
 	f.mu.Lock()
 	known := f.state(s.Worker).incarnation
--- a/quick/idempotent.go
+++ b/quick/idempotent.go
@@ -74,7 +74,7 @@
 
 // launch sends the next attempt and reports whether a worker was found for it.
 func (v *volley) launch(ctx context.Context) bool {
-	at, ok := v.router.fleet.sit(v.tried)
+	at, ok := v.router.fleet.acquire(v.tried)
 	if !ok {
 		return false
 	}
--- a/quick/once.go
+++ b/quick/once.go
@@ -32,7 +32,7 @@
 	o := &once{router: r, pass: p, spec: p.spec, hash: Hash(p.spec), tried: make(map[string]bool)}
 	var c claim.Claim
 	for {
-		at, place, reason := o.sit(ctx)
+		at, place, reason := o.acquire(ctx)
 		if at == nil {
 			return o.refuse(c, reason)
 		}
@@ -59,10 +59,10 @@
 	}
 }
 
-// sit finds a worker and the name of its process.
-func (o *once) sit(ctx context.Context) (*seat, claim.Place, outcome.Reason) {
+// acquire finds a worker and the name of its process.
+func (o *once) acquire(ctx context.Context) (*conn, claim.Place, outcome.Reason) {
 	for ctx.Err() == nil {
-		at, ok := o.router.fleet.sit(o.tried)
+		at, ok := o.router.fleet.acquire(o.tried)
 		if !ok {
 			return nil, claim.Place{}, outcome.WorkersBusy
 		}
@@ -71,19 +71,19 @@
 		if err == nil {
 			return at, claim.Place{Worker: at.Name, Address: at.Address, Incarnation: incarnation}, ""
 		}
-		at.rise(o.spec.Service, worker.Task{}, err)
+		at.release(o.spec.Service, worker.Task{}, err)
 	}
 	return nil, claim.Place{}, outcome.DeadlineExceeded
 }
 
-// sitAgain finds a worker that was not tried or, after a wait, any worker.
-func (o *once) sitAgain(ctx context.Context) (*seat, claim.Place) {
-	at, place, _ := o.sit(ctx)
+// acquireAgain finds a worker that was not tried or, after a wait, any worker.
+func (o *once) acquireAgain(ctx context.Context) (*conn, claim.Place) {
+	at, place, _ := o.acquire(ctx)
 	if at != nil || !clock.Sleep(ctx, o.router.opts.Budget.Wait(o.sends)) {
 		return at, place
 	}
 	clear(o.tried)
-	at, place, _ = o.sit(ctx)
+	at, place, _ = o.acquire(ctx)
 	return at, place
 }
 
@@ -105,7 +105,7 @@
 
 // run sends a claimed request until a worker takes it, and returns the claim with
 // the outcome of that.
-func (o *once) run(ctx context.Context, c claim.Claim, at *seat) claim.Claim {
+func (o *once) run(ctx context.Context, c claim.Claim, at *conn) claim.Claim {
 	r := o.router
 	for {
 		o.sends++
@@ -121,7 +121,7 @@
 			return o.bury(ctx, c)
 		}
 		r.opts.Counters.Retried(retryReason(err))
-		next, place := o.sitAgain(ctx)
+		next, place := o.acquireAgain(ctx)
 		if next == nil {
 			return o.bury(ctx, c)
 		}
--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	r := reconcile.New(reconcile.Options{Domain: "a", Leads: seat.Leads, Texts: holder, Jobs: book, Store: store})
+//	r := reconcile.New(reconcile.Options{Domain: "a", Leads: election.Leads, Texts: holder, Jobs: book, Store: store})
 //	defer r.Stop(ctx)
 //
 // What the entry last placed stands in the store, one key a service and domain, and is
--- a/term/term.go
+++ b/term/term.go
@@ -49,7 +49,7 @@
 	Leads bool
 }
 
-// Options configures a Seat.
+// Options configures an Election.
 type Options struct {
 	Store  Store
 	Domain string
@@ -63,8 +63,8 @@
 	Log   *logrus.Entry
 }
 
-// Seat takes part in the election of one domain. It is safe for concurrent use.
-type Seat struct {
+// Election takes part in the election of one domain. It is safe for concurrent use.
+type Election struct {
 	opts    Options
 	leaving atomic.Bool
 	cancel  context.CancelFunc
@@ -89,7 +89,7 @@
 }
 
 // New returns a candidate that takes part until Stop.
-func New(opts Options) *Seat {
+func New(opts Options) *Election {
 	if opts.Period == 0 {
 		opts.Period = DefaultPeriod
 	}
@@ -103,7 +103,7 @@
 		opts.Log = logrus.NewEntry(logrus.StandardLogger())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Seat{opts: opts, cancel: cancel, changed: make(chan struct{})}
+	s := &Election{opts: opts, cancel: cancel, changed: make(chan struct{})}
 	s.since = opts.Clock.Now()
 	s.done.Go(func() { s.follow(ctx) })
 	s.done.Go(func() { s.take(ctx) })
@@ -111,7 +111,7 @@
 }
 
 // Stop leaves the election and hands a held term over at once.
-func (s *Seat) Stop(ctx context.Context) error {
+func (s *Election) Stop(ctx context.Context) error {
 	s.Resign(ctx)
 	s.cancel()
 	s.done.Wait()
@@ -119,7 +119,7 @@
 }
 
 // Resign hands a held term over and takes no other.
-func (s *Seat) Resign(ctx context.Context) {
+func (s *Election) Resign(ctx context.Context) {
 	s.leaving.Store(true)
 	s.mu.Lock()
 	holds, seen, version := s.seen.Holder == s.opts.Name && s.seen.Term > 0, s.seen, s.version
@@ -137,7 +137,7 @@
 }
 
 // Now returns what is known at this moment. It checks the lease on the monotonic clock.
-func (s *Seat) Now() State {
+func (s *Election) Now() State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := State{Term: s.seen.Term, Holder: s.seen.Holder}
@@ -147,17 +147,17 @@
 }
 
 // Changed returns a channel that is closed when the term or its holder changes.
-func (s *Seat) Changed() <-chan struct{} {
+func (s *Election) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.changed
 }
 
 // margin allows for clocks that run at different rates.
-func (s *Seat) margin() clock.Millis { return s.opts.Lapse / 10 }
+func (s *Election) margin() clock.Millis { return s.opts.Lapse / 10 }
 
 // take renews a held term, and takes one that has lapsed, until ctx ends.
-func (s *Seat) take(ctx context.Context) {
+func (s *Election) take(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := s.step(ctx)
 		// Candidates that saw the same change must not write at the same moment.
@@ -166,7 +166,7 @@
 }
 
 // step does what is due and returns the time until the next step.
-func (s *Seat) step(ctx context.Context) clock.Millis {
+func (s *Election) step(ctx context.Context) clock.Millis {
 	s.mu.Lock()
 	seen, version := s.seen, s.version
 	now := s.opts.Clock.Now()
@@ -197,7 +197,7 @@
 }
 
 // settle reads back after a write that failed or whose answer was lost.
-func (s *Seat) settle(ctx context.Context, own stored, sent clock.Millis) {
+func (s *Election) settle(ctx context.Context, own stored, sent clock.Millis) {
 	entry, err := s.opts.Store.Get(ctx, s.key())
 	if err != nil {
 		return
@@ -214,7 +214,7 @@
 	s.learn(v, entry.Version)
 }
 
-func (s *Seat) write(ctx context.Context, v stored, version uint64) (uint64, error) {
+func (s *Election) write(ctx context.Context, v stored, version uint64) (uint64, error) {
 	raw, err := json.Marshal(v)
 	if err != nil {
 		return 0, err
@@ -225,7 +225,7 @@
 }
 
 // prove notes a write of our own, which holds the lease from when it was sent.
-func (s *Seat) prove(v stored, version uint64, sent clock.Millis) {
+func (s *Election) prove(v stored, version uint64, sent clock.Millis) {
 	s.learn(v, version)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,7 +235,7 @@
 }
 
 // learn notes a value of the key. Older values than the one known are passed over.
-func (s *Seat) learn(v stored, version uint64) {
+func (s *Election) learn(v stored, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version <= s.version {
@@ -253,7 +253,7 @@
 }
 
 // follow learns from the store's watch until ctx ends.
-func (s *Seat) follow(ctx context.Context) {
+func (s *Election) follow(ctx context.Context) {
 	var index uint64
 	for ctx.Err() == nil {
 		entries, next, err := s.opts.Store.Watch(ctx, s.key(), index, 10*s.opts.Period)
@@ -271,4 +271,4 @@
 	}
 }
 
-func (s *Seat) key() string { return "term/" + s.opts.Domain }
+func (s *Election) key() string { return "term/" + s.opts.Domain }
