--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,7 +129,7 @@
 	sweeper := expiry.New(expiry.Options{Book: claims, Log: e.log})
 	router := quick.New(quick.Options{
 		Workers: directory, Claims: claims, Counters: count, Budget: retries, Clock: clk, Log: e.log,
-		Entries: census(mesh, s.Domain),
+		Entries: liveEntries(mesh, s.Domain),
 		Weight: func(name string) int {
 			account, _ := holder.Now().Text.Account(name)
 			return account.Weight
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -63,7 +63,7 @@
 	e.kernel.Add("renewer", renewals)
 	// The election stops first, so that another entry takes the domain over at once.
 	e.kernel.Add("term", election)
-	e.kernel.Add("herald", newHerald(election, p.mesh.Announce))
+	e.kernel.Add("announcer", newAnnouncer(election, p.mesh.Announce))
 	e.kernel.Add("reconcile", reconcile.New(reconcile.Options{
 		Domain: domain, Leads: func() bool { return election.Now().Leads }, Texts: p.holder, Jobs: replicas{book, p.directory},
 		Store: p.store, Clock: p.clock, Log: e.log,
--- a/entry/mesh.go
+++ b/entry/mesh.go
@@ -64,8 +64,8 @@
 	return net.JoinHostPort(host, port)
 }
 
-// census returns a function that tells the number of live entries of a failure domain.
-func census(mesh *peer.Mesh, domain string) func() int {
+// liveEntries returns a function that tells the number of live entries of a failure domain.
+func liveEntries(mesh *peer.Mesh, domain string) func() int {
 	var count atomic.Int64
 	tally := func(peer.Peer) {
 		n := int64(1)
@@ -94,15 +94,15 @@
 	return list
 }
 
-// herald tells the mesh who leads until Stop.
-type herald struct {
+// announcer tells the mesh who leads until Stop.
+type announcer struct {
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
-func newHerald(election *term.Election, tell func(leads bool, term int64)) *herald {
+func newAnnouncer(election *term.Election, tell func(leads bool, term int64)) *announcer {
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &herald{cancel: cancel, done: make(chan struct{})}
+	h := &announcer{cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(h.done)
 		for ctx.Err() == nil {
@@ -121,7 +121,7 @@
 }
 
 // Stop ends the telling.
-func (h *herald) Stop(context.Context) error {
+func (h *announcer) Stop(context.Context) error {
 	h.cancel()
 	<-h.done
 	return nil
