job, scheduler: say once what a name may be, ask once whether a guarantee has room

Cause: a read of the whole change: the rule for names stood in words in three packages, and placePacked worked out anew what covered already tells. Ruled out: one set of wire types for client and operator (each side's stand beside their handlers, as the house style has it); one list of closed reasons for outcome and peer (they are different sets). Change: job.AllowedName, and placePacked asks covered. No behaviour changed.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -159,7 +159,7 @@
 	}
 	if !job.IsName(in.Service) || !job.IsName(in.Key) {
 		in.Key = ""
-		return refuse(outcome.BadRequest, "service and key: want 1 to 128 letters, digits, '.', '_', ':' or '-', starting with a letter or digit")
+		return refuse(outcome.BadRequest, "service and key: want "+job.AllowedName)
 	}
 	service, ok := t.Service(in.Service)
 	if !ok || service.Account != account {
--- a/check/fleet.go
+++ b/check/fleet.go
@@ -19,7 +19,7 @@
 	maxQuota    = 1 << 30
 )
 
-const wantName = "want 1 to 128 letters, digits, '.', '_', ':' or '-', starting with a letter or digit"
+const wantName = "want " + job.AllowedName
 
 func (c *checker) firm() {
 	c.name("firm", c.t.Firm)
--- a/job/job.go
+++ b/job/job.go
@@ -145,6 +145,9 @@
 	return fmt.Sprintf("%s: %v is not allowed; want %s", e.Field, e.Value, e.Allowed)
 }
 
+// AllowedName says in words what IsName accepts.
+const AllowedName = "1 to 128 letters, digits, '.', '_', ':' or '-', starting with a letter or digit"
+
 var nameForm = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._:-]{0,127}$`)
 
 // IsName reports whether v can be the name of an account, a service or a request.
@@ -155,7 +158,7 @@
 	names := []struct{ field, value string }{{"account", s.Account}, {"service", s.Service}, {"key", s.Key}}
 	for _, n := range names {
 		if !nameForm.MatchString(n.value) {
-			return &Error{n.field, fmt.Sprintf("%q", n.value), "1 to 128 letters, digits, '.', '_', ':' or '-', starting with a letter or digit"}
+			return &Error{n.field, fmt.Sprintf("%q", n.value), AllowedName}
 		}
 	}
 	switch s.Class {
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -55,7 +55,7 @@
 // placePacked places a large work that its account's guarantee has room for, though
 // smaller works of the account are scattered over the cells, by moving those.
 func (c *Core) placePacked(w *work) bool {
-	if !c.large(w) || int64(w.accels()*accelShare) > c.unused(w.acct) || w.plain() && w.class.packed == c.version {
+	if !c.large(w) || !c.covered(w) || w.plain() && w.class.packed == c.version {
 		return false
 	}
 	smaller := func(v *work) bool {
