controller: look again at an idle worker that failed a call

Cause: an order that was not delivered marks its worker as failing, and a failing worker gets no work until it has answered. One that ran nothing had no reason to be looked at, so it stayed without work for the rest of the term. Ruled out: the looks under way, which only workers with runs have. Change: a listed worker that failed a call is looked at until it answers. Test: "gives an idle worker that refused an order work again", red before.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -45,6 +45,19 @@
 		Expect(w.starts(jobID(1) + ".0.0.0")).To(HaveLen(1))
 	})
 
+	It("gives an idle worker that refused an order work again once it answers", func() {
+		w := newWorld(1)
+		i := w.join(nil)
+		Eventually(i.leads, soon).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
+		Eventually(func() workflow.State { return i.state(jobID(1)) }, soon).Should(Equal(workflow.Completed))
+		i.refuse("i-0", true)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
+		time.Sleep(300 * time.Millisecond) // the order is refused
+		i.refuse("i-0", false)
+		Eventually(func() workflow.State { return i.state(jobID(2)) }, soon).Should(Equal(workflow.Completed))
+	})
+
 	It("counts failed runs, and fails the job after as many as its queue allows", func() {
 		w := newWorld(4)
 		i := w.join(nil)
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -215,9 +215,10 @@
 	return n.now(now, 1-slowClock) > n.leased+lapseMargin
 }
 
-// needsLook reports whether a worker has something to tell.
+// needsLook reports whether a worker has something to tell. One that failed a call gets no
+// work before it has answered again.
 func (n *node) needsLook() bool {
-	return n.w.Address != "" && (!n.looked || len(n.runs) > 0 || len(n.strangers) > 0 || len(n.pending) > 0 || n.seen > n.acked)
+	return n.w.Address != "" && (!n.looked || (n.failing && n.listed) || len(n.runs) > 0 || len(n.strangers) > 0 || len(n.pending) > 0 || n.seen > n.acked)
 }
 
 // look asks a worker what runs there, and renews its lease. It waits until the jobs are
