controller: a job runs once one of its runs has arrived

Change: the state changes when a run is first seen on its worker; the record of that waits up to 0.5 s for another change of the job. Test: "tells of a job whose orders never arrive as queued", red before.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -329,6 +329,7 @@
 	for _, n := range c.nodes {
 		c.checkNode(n, now)
 	}
+	c.recordBegun(now)
 	c.expire(now)
 	c.poll(now)
 	c.wantPlan = true
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -58,6 +58,21 @@
 		Eventually(func() workflow.State { return i.state(jobID(2)) }, soon).Should(Equal(workflow.Completed))
 	})
 
+	It("tells of a job whose orders never arrive as queued", func() {
+		w := newWorld(1)
+		i := w.join(nil)
+		Eventually(i.leads, soon).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
+		Eventually(func() workflow.State { return i.state(jobID(1)) }, soon).Should(Equal(workflow.Completed))
+		i.refuse("i-0", true)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		Consistently(func() workflow.State { return i.state(jobID(2)) }, time.Second).Should(Equal(workflow.Queued))
+		Expect(i.board.Pending("batch")).To(Equal(1))
+		i.refuse("i-0", false)
+		Eventually(func() workflow.State { return i.state(jobID(2)) }, soon).Should(Equal(workflow.Running))
+		Expect(i.board.Pending("batch")).To(BeZero())
+	})
+
 	It("counts failed runs, and fails the job after as many as its queue allows", func() {
 		w := newWorld(4)
 		i := w.join(nil)
--- a/controller/flush.go
+++ b/controller/flush.go
@@ -53,6 +53,7 @@
 			break
 		}
 		delete(c.dirty, j)
+		j.begun = 0
 		if !j.state.Over() {
 			j.begin(&b, now)
 		}
@@ -73,7 +74,6 @@
 				if t.run == nil || (t.run.state != planned && t.run.state != written) {
 					continue
 				}
-				j.state = workflow.Running
 				t.run.enter(written, now)
 				b.runs = append(b.runs, t.run)
 			}
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -27,6 +27,8 @@
 	// changes counts the changes, written those that are recorded.
 	changes int
 	written int
+	// begun is when the first run arrived, until that is recorded.
+	begun clock.Millis
 	// noticed is when this leader learned of the job.
 	noticed clock.Millis
 }
@@ -216,6 +218,19 @@
 	c.finish(j, workflow.Cancelled, "cancelled by its caller")
 }
 
+// beginLag is how long the record that a job runs may wait for another change of the
+// job to be written along with; counts of waiting jobs may be 2 s old.
+const beginLag = 500 * clock.Millisecond
+
+// recordBegun records that jobs have begun to run where no other change has done so.
+func (c *Controller) recordBegun(now clock.Millis) {
+	for _, j := range c.jobs {
+		if j.begun != 0 && now-j.begun > beginLag {
+			c.touch(j)
+		}
+	}
+}
+
 // finish gives a job its final state and stops what still runs of it.
 func (c *Controller) finish(j *job, state workflow.State, reason string) {
 	j.state, j.over = state, c.opts.Clock.Now()
--- a/controller/looks.go
+++ b/controller/looks.go
@@ -79,10 +79,7 @@
 func (c *Controller) seen(r *run, seen agent.Run, now clock.Millis) {
 	switch r.state {
 	case ordered, unclear, recalled:
-		r.enter(present, now)
-		if r.began == 0 {
-			r.began = now
-		}
+		c.arrived(r, now)
 		if r.task.part.job.state.Over() {
 			c.halt(r, "its job is over")
 		}
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutsail/chestnutsail/agent"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/planner"
+	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
 // runState is how far a run has come.
@@ -158,8 +159,7 @@
 		c.opts.Log.WithError(err).WithFields(r.fields()).Warn("controller: order without an answer")
 		c.resend(r, o)
 	case verdict == agent.Taken:
-		r.enter(present, now)
-		r.began, r.moved = now, now
+		c.arrived(r, now)
 		c.look(r.node)
 	case verdict == agent.Replaced:
 		c.reborn(r.node, 0, "another instance answers at its address")
@@ -184,6 +184,17 @@
 	}
 }
 
+// arrived takes note that a run is on its worker.
+func (c *Controller) arrived(r *run, now clock.Millis) {
+	r.enter(present, now)
+	if r.began == 0 {
+		r.began, r.moved = now, now
+	}
+	if j := r.task.part.job; !j.state.Over() && j.state != workflow.Running {
+		j.state, j.begun = workflow.Running, now
+	}
+}
+
 // resend repeats an order whose answer was lost.
 func (c *Controller) resend(r *run, o agent.Order) {
 	c.retried("order")
