mirror, kv: give each page of a list its own time, by the instance's link

A list of all jobs had 1.2 s in all; 700 jobs take longer over 10 Mbit/s. Ruled out: the state of jobs whose orders never arrive, mended before; the watch, which had no error. Change: a list is read page by page, each with a time that its size needs on the link, and a lost page does not lose those before it; a leader loads the jobs the same way. An instance whose view is older than 2 s, or which has none, tells no number of waiting jobs. Tests: "lists more than it can read within one timeout", red before; the count of waiting jobs of an instance whose view is too old or not there yet. The records' payloads make up most of what small instances read at a start; keeping them under a prefix of their own is open.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -34,7 +34,7 @@
 	mirror.Store
 	Commit(ctx context.Context, ops []kv.Op) (uint64, error)
 	Get(ctx context.Context, key string) (kv.Entry, error)
-	ListAfter(ctx context.Context, prefix, after string) ([]kv.Entry, uint64, error)
+	List(ctx context.Context, prefix string) ([]kv.Entry, uint64, error)
 }
 
 // Workers gives orders to workers. An error other than Absent means that an order may
@@ -67,6 +67,9 @@
 	Decode func(key string, raw []byte) (agent.Worker, error)
 	// Term returns the term and whether the leadership is sure to be alive.
 	Term func() (uint64, bool)
+	// PageTimeout bounds the reading of one page of the store's keys, in milliseconds; 0
+	// means storeTimeout.
+	PageTimeout clock.Millis
 	// Heard returns the age in milliseconds of the last change that the watch of jobs
 	// brought; nil means that the watch is never silent.
 	Heard func() clock.Millis
@@ -129,6 +132,9 @@
 
 // New returns a controller that waits to lead.
 func New(opts Options) *Controller {
+	if opts.PageTimeout == 0 {
+		opts.PageTimeout = storeTimeout
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{opts: opts, events: make(chan func(), mailboxSize), ctx: ctx, cancel: cancel}
 	opts.Board.Watch(func(v board.View) { c.hint(func() { c.noticed(v) }) })
@@ -225,9 +231,10 @@
 	c.load(term)
 	c.servers = mirror.New(mirror.Options{
 		Store: c.opts.Store, Prefix: c.opts.Prefix, Clock: c.opts.Clock, Log: c.opts.Log,
-		Gap:     func() clock.Millis { return serversGap },
-		Replace: func(entries []kv.Entry) { c.post(func() { c.onTerm(term, func() { c.replaceNodes(entries) }) }) },
-		Apply:   func(changes []kv.Change) { c.post(func() { c.onTerm(term, func() { c.applyNodes(changes) }) }) },
+		PageTimeout: c.opts.PageTimeout,
+		Gap:         func() clock.Millis { return serversGap },
+		Replace:     func(entries []kv.Entry) { c.post(func() { c.onTerm(term, func() { c.replaceNodes(entries) }) }) },
+		Apply:       func(changes []kv.Change) { c.post(func() { c.onTerm(term, func() { c.applyNodes(changes) }) }) },
 	})
 }
 
@@ -265,9 +272,7 @@
 // load reads all jobs, which other leaders may have changed since the last event here.
 func (c *Controller) load(term uint64) {
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, 2*storeTimeout.Duration())
-		defer cancel()
-		entries, _, err := c.opts.Store.List(ctx, board.Prefix)
+		entries, _, err := kv.ListAll(c.ctx, c.opts.Store, board.Prefix, "", c.opts.PageTimeout)
 		if err != nil {
 			c.opts.Log.WithError(err).WithField("term", term).Warn("controller: jobs not loaded")
 			clock.Sleep(c.ctx, retryPause)
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -83,14 +83,14 @@
 	lose bool
 }
 
-func (h *hooks) List(ctx context.Context, prefix string) ([]kv.Entry, uint64, error) {
+func (h *hooks) ListPage(ctx context.Context, prefix, after string) (kv.Page, error) {
 	h.mu.Lock()
 	delay := h.listDelay
 	h.mu.Unlock()
 	if prefix == board.Prefix {
 		time.Sleep(delay)
 	}
-	return h.Store.List(ctx, prefix)
+	return h.Store.ListPage(ctx, prefix, after)
 }
 
 func (h *hooks) refuse(id string, refused bool) {
--- a/controller/notices.go
+++ b/controller/notices.go
@@ -46,7 +46,7 @@
 // unseen returns the keys of jobs that notices name and that are not known yet.
 func (c *Controller) unseen(ctx context.Context, now clock.Millis) ([]kv.Entry, error) {
 	prefix, after := board.NoticesSince(now - noticeAge)
-	list, _, err := c.opts.Store.ListAfter(ctx, prefix, after)
+	list, _, err := kv.ListAll(ctx, c.opts.Store, prefix, after, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -60,6 +60,9 @@
 	// revocationMargin is kept between the last moment at which a key is accepted and the
 	// bound on its revocation, for the way of the answer.
 	revocationMargin = 200 * clock.Millisecond
+	// pageSize is the size in megabits of a full page of the store's keys: a megabyte of
+	// values, as the platform bounds it, in base64 and JSON.
+	pageSize = 12.0
 	// closeTime is kept for the end of the process within its grace.
 	closeTime = clock.Second
 )
@@ -156,7 +159,7 @@
 	})
 	f.kernel.Add("health", f.store)
 	f.configs = mirror.New(mirror.Options{
-		Store: store, Prefix: platform.ConfigKey, Clock: f.clock, Log: log,
+		Store: store, Prefix: platform.ConfigKey, PageTimeout: pageTimeout(s), Clock: f.clock, Log: log,
 		Replace: func(entries []kv.Entry) { f.adopt(entries) },
 		Apply: func(changes []kv.Change) {
 			for _, c := range changes {
@@ -173,14 +176,14 @@
 		Lead: func(term uint64) { runner.Lead(term) }, Lose: func() { runner.Lose() },
 	})
 	runner = controller.New(controller.Options{
-		Store: store, Workers: platform.NewWorkers(), Board: f.board,
+		Store: store, Workers: platform.NewWorkers(), Board: f.board, PageTimeout: pageTimeout(s),
 		Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: f.election.Term, Config: f.config.Load, Heard: func() clock.Millis { return f.jobs.Quiet() },
 		Limits: f.limits,
 		Clock:  f.clock, Counters: f.counters, Log: log,
 	})
 	f.jobs = mirror.New(mirror.Options{
-		Store: store, Prefix: board.Prefix, Clock: f.clock, Log: log, Gap: f.gap,
+		Store: store, Prefix: board.Prefix, PageTimeout: pageTimeout(s), Clock: f.clock, Log: log, Gap: f.gap,
 		Replace: func(entries []kv.Entry) { f.election.Observe(!f.board.Replace(entries)) },
 		Apply: func(changes []kv.Change) {
 			if seen, led := f.board.Apply(changes); seen {
@@ -189,7 +192,7 @@
 		},
 	})
 	f.desk = intake.New(intake.Options{
-		Name: s.Name, Store: store, Board: f.board, Config: f.config.Load, Stale: f.stale, Reachable: f.store.OK, Quiet: f.jobs.Quiet,
+		Name: s.Name, Store: store, Board: f.board, Config: f.config.Load, Stale: f.stale, Reachable: f.store.OK, Age: f.jobs.Age, Quiet: f.jobs.Quiet,
 		Repeated: f.counters.Counter(controller.Retries("acceptance")).Inc, Clock: f.clock, Log: log,
 	})
 	f.kernel.Add("controller", runner)
@@ -220,6 +223,15 @@
 	}).Info("settings: reloaded")
 }
 
+// pageTimeout returns the time in milliseconds for one page of the store's keys: twice what
+// it takes on the instance's link alone, beyond the time for an answer.
+func pageTimeout(s platform.Settings) clock.Millis {
+	if s.Link <= 0 {
+		return mirror.DefaultTimeout
+	}
+	return mirror.DefaultTimeout + clock.Millis(2*pageSize/s.Link*float64(clock.Second))
+}
+
 // candidacy returns how long an instance lets others go first in an election. Orders
 // and looks of a whole installation need the processor and the link of a strong one.
 func candidacy(s platform.Settings) clock.Millis {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -105,6 +105,8 @@
 	// noticeTime is how long one lease of notices is used, in milliseconds; a leader reads
 	// those of the last seconds.
 	noticeTime = 30 * clock.Second
+	// countAge is how old a count of waiting jobs may be, by the callers' protocol.
+	countAge = 2 * clock.Second
 	// quietTime is the time without news after which an unfinished job's state is read
 	// from the store.
 	quietTime = 400 * clock.Millisecond
@@ -126,6 +128,8 @@
 	// Repeated is told of each write that is made again for want of an answer; nil means
 	// nobody.
 	Repeated func()
+	// Age returns the age in milliseconds of Board; nil means that it is never behind.
+	Age func() clock.Millis
 	// Quiet returns the age in milliseconds of the last news in Board; nil means that
 	// Board is never behind.
 	Quiet func() clock.Millis
@@ -156,6 +160,9 @@
 	if opts.Repeated == nil {
 		opts.Repeated = func() {}
 	}
+	if opts.Age == nil {
+		opts.Age = func() clock.Millis { return 0 }
+	}
 	if opts.Quiet == nil {
 		opts.Quiet = func() clock.Millis { return 0 }
 	}
@@ -373,7 +380,11 @@
 	}
 }
 
-// Pending tells how many of a queue's jobs wait for their first task.
+// Pending tells how many of a queue's jobs wait for their first task. An instance that
+// does not know the jobs, or not those of late, tells no number.
 func (d *Desk) Pending(g Grant) Answer {
+	if age := d.opts.Age(); age > countAge {
+		return Answer{Verdict: Unready, After: retryAfter, Reason: "the jobs of late are not known here"}
+	}
 	return Answer{Verdict: OK, Pending: d.opts.Board.Pending(g.Queue.Name)}
 }
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,48 @@
+package intake_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/board"
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/intake"
+	"github.com/chestnutsail/chestnutsail/kv"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platform/platformtest"
+	"github.com/chestnutsail/chestnutsail/site"
+	"github.com/chestnutsail/chestnutsail/suite"
+	"github.com/chestnutsail/chestnutsail/workflow"
+)
+
+func TestIntake(t *testing.T) { suite.Run(t, "intake") }
+
+var _ = Describe("the count of waiting jobs", func() {
+	DescribeTable("of an instance whose view is",
+		func(age clock.Millis, verdict intake.Verdict, pending int) {
+			back := platformtest.NewStore()
+			DeferCleanup(back.Close)
+			log := logrus.New()
+			log.SetOutput(GinkgoWriter)
+			jobs := board.New(nil)
+			jobs.Add(kv.Entry{Key: board.RecordKey("1"), Value: workflow.Encode(workflow.Record{Queue: "q"})})
+			desk := intake.New(intake.Options{
+				Store: platform.NewStore(platform.StoreOptions{Address: back.Address()}), Board: jobs,
+				Age:    func() clock.Millis { return age },
+				Config: func() *site.Config { return &site.Config{} },
+				Clock:  clock.New(), Log: logrus.NewEntry(log),
+			})
+			DeferCleanup(desk.Stop)
+			answer := desk.Pending(intake.Grant{Queue: site.Queue{Name: "q"}})
+			Expect(answer.Verdict).To(Equal(verdict))
+			Expect(answer.Pending).To(Equal(pending))
+		},
+		Entry("new", 100*clock.Millisecond, intake.OK, 1),
+		Entry("as old as a count may be", 2*clock.Second, intake.OK, 1),
+		Entry("too old", 2001*clock.Millisecond, intake.Unready, 0),
+		Entry("not there yet", clock.Hour, intake.Unready, 0),
+	)
+})
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -22,7 +22,7 @@
 
 // Store is what a mirror needs of the store.
 type Store interface {
-	List(ctx context.Context, prefix string) ([]kv.Entry, uint64, error)
+	kv.Pager
 	Watch(ctx context.Context, prefix string, after uint64, wait clock.Millis) ([]kv.Change, uint64, error)
 	Reset()
 }
@@ -47,6 +47,8 @@
 	// Wait and Timeout are in milliseconds; 0 means the defaults.
 	Wait    clock.Millis
 	Timeout clock.Millis
+	// PageTimeout bounds the reading of one page of a list, in milliseconds; 0 means Timeout.
+	PageTimeout clock.Millis
 	// Replace gets the whole content after each list, Apply the changes since then, both
 	// from one goroutine.
 	Replace func(entries []kv.Entry)
@@ -74,6 +76,9 @@
 	if opts.Timeout == 0 {
 		opts.Timeout = DefaultTimeout
 	}
+	if opts.PageTimeout == 0 {
+		opts.PageTimeout = opts.Timeout
+	}
 	if opts.Gap == nil {
 		opts.Gap = func() clock.Millis { return 0 }
 	}
@@ -134,9 +139,7 @@
 }
 
 func (m *Mirror) list(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.opts.Timeout.Duration())
-	defer cancel()
-	entries, revision, err := m.opts.Store.List(ctx, m.opts.Prefix)
+	entries, revision, err := kv.ListAll(ctx, m.opts.Store, m.opts.Prefix, "", m.opts.PageTimeout)
 	if err != nil {
 		return 0, err
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -98,6 +99,18 @@
 		Entry("a silent watch whose history is gone", func(f *platformtest.Faults) { f.Mute = true }, func(f *platformtest.Faults) { f.Mute = false }),
 	)
 
+	It("lists more than it can read within one timeout", func() {
+		for n := range 1400 {
+			back.Put(fmt.Sprintf("p/%04d", n), []byte("x"))
+		}
+		// A page of 500 takes 150 ms, and all three more than the timeout of 300 ms.
+		back.Set(func(f *platformtest.Faults) { f.Item = 300 * time.Microsecond })
+		back.Compact()
+		back.Put("p/9999", []byte("last"))
+		Eventually(func() string { return seen.get("p/9999") }, 2*time.Second).Should(Equal("last"))
+		Expect(seen.get("p/1399")).To(Equal("x"))
+	})
+
 	It("tells how long there was no news, and how old the last answer is", func() {
 		time.Sleep(500 * time.Millisecond)
 		Expect(m.Quiet()).To(BeNumerically(">=", 450*clock.Millisecond))
