controller: orders to workers that are cut off do not hold up the others

At most 24 orders are under way; each to a worker that is cut off took a place for 1 s, and its repetitions took places beyond that. New work went to the domain all the same until each of its workers had let a call of its own time out (3.2 s). Ruled out: room (headroom was free), the store (regained at 34.7 s). A failure domain that owes at least three answers, and from which nothing was heard for 0.4 s, takes no new work; told in the log.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -122,6 +122,8 @@
 	resting  clock.Millis
 	wantPlan bool
 	planned  clock.Millis
+	// cut are the failure domains that do not answer.
+	cut map[string]bool
 	// demand is the recent peak of accelerators asked for by urgent work, by service.
 	demand map[string]*peak.Peak
 	// polling tells that notices are being read.
@@ -231,6 +233,7 @@
 	c.jobs = make(map[string]*job)
 	c.nodes = make(map[string]*node)
 	c.dirty = make(map[*job]bool)
+	c.cut = nil
 	c.demand = make(map[string]*peak.Peak)
 	c.load(term)
 	c.servers = mirror.New(mirror.Options{
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -50,8 +50,11 @@
 	return w
 }
 
-func (w *world) add(id string) {
-	x := platformtest.NewWorker(platformtest.WorkerOptions{Store: w.store, ID: id, Lease: w.lease.Duration()})
+func (w *world) add(id string) { w.addTo("", "", id) }
+
+// addTo adds a worker to a failure domain and a rack; "" means the stand-in's usual one.
+func (w *world) addTo(domain, rack, id string) {
+	x := platformtest.NewWorker(platformtest.WorkerOptions{Store: w.store, ID: id, Domain: domain, Rack: rack, Lease: w.lease.Duration()})
 	DeferCleanup(x.Close)
 	w.workers = append(w.workers, x)
 }
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -54,6 +54,8 @@
 	// looked tells that it has answered under this term.
 	looked  bool
 	looking bool
+	// due is when the answer to the look under way is expected at the latest.
+	due clock.Millis
 	// retry is when a look that failed is made again.
 	retry clock.Millis
 	heard clock.Millis
@@ -239,7 +241,7 @@
 			h.Wait = min(h.Wait, youngLook)
 		}
 	}
-	n.looking = true
+	n.looking, n.due = true, now+h.Wait
 	term, w := c.term, n.w
 	c.opts.Counters.Counter("chestnutsail_worker_looks_total").Inc()
 	go func() {
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -101,6 +101,7 @@
 
 // world collects the input of a plan.
 func (c *Controller) world(now clock.Millis) *world {
+	cut := c.cutOff(now)
 	w := &world{index: make(map[*node]int, len(c.nodes))}
 	for _, n := range c.nodes {
 		w.nodes = append(w.nodes, n)
@@ -108,7 +109,9 @@
 	slices.SortFunc(w.nodes, func(a, b *node) int { return compareText(a.id, b.id) })
 	for i, n := range w.nodes {
 		w.index[n] = i
-		w.in.Nodes = append(w.in.Nodes, c.planNode(n, now))
+		p := c.planNode(n, now)
+		p.Usable = p.Usable && !cut[n.w.Domain]
+		w.in.Nodes = append(w.in.Nodes, p)
 	}
 	guaranteed := c.guaranteed()
 	for _, j := range c.ordered() {
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -81,63 +81,6 @@
 	return s
 }
 
-// order sends the start of a run. Without an answer the same order is sent again: a
-// worker carries it out once.
-func (c *Controller) order(r *run) {
-	r.enter(ordered, c.opts.Clock.Now())
-	t := r.task
-	o := agent.Order{
-		Task: t.id(), Run: r.number, Payload: t.part.job.record.Spec.Payload,
-		Lease: c.lease(r.node), Fence: c.term, Checkpoint: t.saved,
-	}
-	if t.part.step.Gang {
-		o.Checkpoint = t.part.saved()
-	}
-	r.resumed = o.Checkpoint != ""
-	if o.Lease == 0 {
-		c.opts.Log.WithFields(r.fields()).Info("controller: run is not ordered, its worker went silent after the plan")
-		c.gone(r, agent.Lapsed, "")
-		return
-	}
-	if c.first {
-		c.first = false
-		c.opts.Log.WithFields(logrus.Fields{"term": c.term, "took_ms": int64(c.opts.Clock.Now() - c.led)}).Info("controller: first order of the term")
-	}
-	c.orders = append(c.orders, func() {
-		if r.task.run == r && r.state == ordered {
-			c.send(r, o)
-		}
-	})
-	c.sendWaiting()
-}
-
-// sendWaiting sends the orders that wait, as many at a time as the link carries.
-func (c *Controller) sendWaiting() {
-	for len(c.orders) > 0 && c.sending < maxSending {
-		next := c.orders[0]
-		c.orders = c.orders[1:]
-		next()
-	}
-}
-
-func (c *Controller) send(r *run, o agent.Order) {
-	term, w := c.term, r.node.w
-	c.sending++
-	c.opts.Counters.Counter("chestnutsail_orders_total").Inc()
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout.Duration())
-		defer cancel()
-		verdict, now, err := c.opts.Workers.Start(ctx, w, o)
-		c.post(func() {
-			c.onTerm(term, func() {
-				c.sending--
-				c.answered(r, o, verdict, now, err)
-				c.sendWaiting()
-			})
-		})
-	}()
-}
-
 // answered handles the answer to an order.
 func (c *Controller) answered(r *run, o agent.Order, verdict agent.Verdict, at clock.Millis, err error) {
 	if r.task.run != r || r.state != ordered {
@@ -195,24 +138,6 @@
 	}
 }
 
-// resend repeats an order whose answer was lost.
-func (c *Controller) resend(r *run, o agent.Order) {
-	c.retried("order")
-	term := c.term
-	go func() {
-		clock.Sleep(c.ctx, retryPause)
-		c.post(func() {
-			c.onTerm(term, func() {
-				if r.task.run == r && r.state == ordered && c.acts() {
-					c.send(r, o)
-				} else if r.task.run == r && r.state == ordered {
-					c.resend(r, o)
-				}
-			})
-		})
-	}()
-}
-
 // halt stops a run, wherever it is.
 func (c *Controller) halt(r *run, reason string) {
 	switch r.state {
