controller, platform: know a worker whose process has ended by two signs

A refused connection alone proves nothing, a cut may refuse as well. Ruled out: the watch of workers, which told of the notice within 0.1 s. Change: a worker that closed the connection on which a look waited, and whose address refuses the next call within 2 s, has ended. A cut drops or resets connections in use, it does not close them in an orderly way. Orders without an answer are still forbidden first, as after any new start. Test: "are told from one whose process has ended", red before; the specs of refused workers and of silent ones hold as they are.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -177,6 +177,9 @@
 var (
 	// ErrAbsent means that no process listens at a worker's address.
 	ErrAbsent = errors.New("agent: no process at the worker's address")
+	// ErrClosed means that the worker closed the connection in an orderly way instead of
+	// answering a call under way, as a process that ends does.
+	ErrClosed = errors.New("agent: connection closed by the worker during a call")
 	// ErrReplaced means that another instance answers there.
 	ErrReplaced = errors.New("agent: another instance at the worker's address")
 )
--- a/controller/cut_test.go
+++ b/controller/cut_test.go
@@ -29,6 +29,18 @@
 		Eventually(w.workers[1].Running, 500*time.Millisecond).Should(Equal(1))
 	})
 
+	It("are told from one whose process has ended: its runs start elsewhere at once", func() {
+		w := newWorldOf(1, 10000)
+		i := w.join(nil)
+		Eventually(i.leads, soon).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		Eventually(w.workers[0].Running, soon).Should(Equal(1))
+		w.add("i-9")
+		time.Sleep(1500 * time.Millisecond) // a look waits there
+		w.workers[0].Close()
+		Eventually(w.workers[1].Running, 1500*time.Millisecond).Should(Equal(1))
+	})
+
 	It("make their whole failure domain take no new work", func() {
 		w := newWorldOf(4, 10000)
 		for n := range 4 {
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -61,6 +61,9 @@
 	heard clock.Millis
 	// failing tells that a call has failed since the worker was heard.
 	failing bool
+	// closed is when the worker closed a connection on which a look waited; 0 if it has
+	// answered since.
+	closed clock.Millis
 	// clock was the worker's time at the time read here.
 	clock clock.Millis
 	read  clock.Millis
@@ -205,7 +208,7 @@
 
 // hear takes note of an answer.
 func (n *node) hear(at, now clock.Millis) {
-	n.clock, n.read, n.heard, n.failing = at, now, now, false
+	n.clock, n.read, n.heard, n.failing, n.closed = at, now, now, false, 0
 }
 
 // lapsed reports whether all that may have run on a worker has surely ended.
@@ -291,11 +294,28 @@
 			"worker": n.id, "silent_ms": int64(now - n.heard), "runs": len(n.runs), "listed": n.listed,
 		}).Warn("controller: worker does not answer")
 	}
-	if errors.Is(err, agent.ErrReplaced) && n.w.Address == w.Address {
+	if n.w.Address != w.Address {
+		return
+	}
+	switch {
+	case errors.Is(err, agent.ErrReplaced):
 		c.reborn(n, 0, "another instance answers at its address")
+	case errors.Is(err, agent.ErrClosed):
+		n.closed = now
+	case errors.Is(err, agent.ErrAbsent) && n.exited(now):
+		c.reborn(n, n.born, "its process has ended: it closed a connection in use, and nothing listens")
 	}
 }
 
+// exitTime is the longest time in milliseconds between the end of a worker's connection
+// and the next call, which finds nothing listening.
+const exitTime = 2 * clock.Second
+
+// exited reports whether a worker that refuses connections has ended. Neither sign is
+// enough by itself: a cut may refuse new connections, and a worker may close old ones. A
+// cut drops or resets the connections in use, it does not close them.
+func (n *node) exited(now clock.Millis) bool { return n.closed != 0 && now-n.closed < exitTime }
+
 // unlist takes note that a worker's entry is gone. An entry that lapses does so three
 // heartbeats after the last one; one that goes sooner was taken off by the worker itself.
 func (c *Controller) unlist(n *node, now clock.Millis) {
@@ -319,7 +339,7 @@
 		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "reason": reason, "born": int64(born)}).Warn("controller: life of a worker is over")
 	}
 	n.born, n.looked, n.seen, n.acked, n.pending = born, false, 0, 0, nil
-	n.clock, n.read, n.leased, n.heard, n.slowUntil, n.failing = 0, 0, 0, 0, 0, false
+	n.clock, n.read, n.leased, n.heard, n.slowUntil, n.failing, n.closed = 0, 0, 0, 0, 0, false, 0
 	clear(n.strangers)
 	for r := range n.runs {
 		if r.unanswered && r.state == ordered {
