planner: a gang waits for a rack that is being emptied

Change: while the stops under way free a rack, it waits for that, 2 s at most. Test: "waits on for a rack that is being emptied", red before.

--- a/planner/place.go
+++ b/planner/place.go
@@ -50,7 +50,7 @@
 	if u.DataRack != "" && p.waitsForData(u) {
 		w.rack = u.DataRack
 	}
-	w.sameRack = u.Gang && u.SameRack && p.waitsForRack(u)
+	w.sameRack = u.Gang && u.SameRack && (u.Waited < maxRackWait || p.waitsForRack(u))
 	return w, len(u.Avoid) == 0 && u.PerWorker == 0
 }
 
@@ -96,7 +96,7 @@
 		if nodes := p.oneRack(u, room); nodes != nil {
 			return nodes
 		}
-		if p.waitsForRack(u) {
+		if p.waitsForRack(u) || p.rackComes(u) {
 			return nil
 		}
 	}
@@ -114,6 +114,15 @@
 	return slices.ContainsFunc(p.racks, func(rack string) bool { return p.couldHold(u, p.byRack[rack]) })
 }
 
+// rackComes reports whether a rack for a gang is free as soon as the stops under way are
+// done. Work that is spread over racks takes a multiple of its time, the stops do not.
+func (p *plan) rackComes(u *Unit) bool {
+	if u.Waited >= maxRackWait {
+		return false
+	}
+	return p.oneRack(u, func(n int) Shape { return p.Nodes[n].Soon }) != nil
+}
+
 func patience(u *Unit, factor float64) clock.Millis {
 	wait := max(clock.Millis(factor*float64(u.Estimate)), minPatience)
 	if u.Guaranteed {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -71,6 +71,9 @@
 	// guaranteedPatience is the most that a unit within its guarantee waits: the bound on
 	// a reclaim is 2.7 s, and stopping others and ordering takes up to 1.2 s of it.
 	guaranteedPatience = clock.Second
+	// maxRackWait is the most that a gang waits for a rack that is being emptied; the bound
+	// on a reclaim is 2.7 s.
+	maxRackWait = 2 * clock.Second
 )
 
 // Node is a worker.
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -200,6 +200,26 @@
 		Expect(s.running[3]).To(HaveLen(1))
 	})
 
+	It("waits on for a rack that is being emptied instead of spreading a gang", func() {
+		s := newSite(2, 2)
+		in, _, _ := s.input()
+		for n := range in.Nodes {
+			in.Nodes[n].Free = in.Nodes[n].Free.Sub(whole)
+		}
+		// One worker of each rack is free, and the first rack's other is being emptied.
+		in.Nodes[1].Free, in.Nodes[3].Free = in.Nodes[1].Capacity, in.Nodes[3].Capacity
+		in.Nodes[2].Soon = in.Nodes[2].Free
+		u := planner.Unit{Service: "svc", Shape: whole, Count: 2, Gang: true, SameRack: true, Guaranteed: true, Pay: 1e9, Estimate: clock.Second}
+		for _, c := range []struct {
+			waited clock.Millis
+			starts int
+		}{{0, 0}, {1100, 0}, {2100, 1}} {
+			u.Waited = c.waited
+			in.Units = []planner.Unit{u}
+			Expect(planner.Plan(in).Starts).To(HaveLen(c.starts), "after %d ms", c.waited)
+		}
+	})
+
 	It("takes no room for a unit that would not get it", func() {
 		s := newSite(2, 2)
 		s.add(planner.Unit{Priority: 2, Shape: one, Count: 32})
