--- a/planner/planner.go
+++ b/planner/planner.go
@@ -296,28 +296,3 @@
 		node.Free = node.Free.least(node.Soon)
 	}
 }
-
-// reserve keeps the rack that is closest to holding a gang from later units.
-func (p *plan) reserve(u *Unit) {
-	best, most := "", 0
-	for _, rack := range p.racks {
-		slots, whole := 0, 0
-		for _, n := range p.byRack[rack] {
-			if p.suits(u, n) {
-				slots += p.slots(u, n, p.Nodes[n].Soon)
-				whole += p.slots(u, n, p.Nodes[n].Capacity)
-			}
-		}
-		if whole < u.Count || slots <= most {
-			continue
-		}
-		best, most = rack, slots
-	}
-	if most == 0 {
-		return
-	}
-	p.reservations++
-	for _, n := range p.byRack[best] {
-		p.reserved[n] = true
-	}
-}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -220,6 +220,21 @@
 		}
 	})
 
+	It("keeps workers free for a gang that no rack could hold", func() {
+		s := newSite(3, 2)
+		s.add(planner.Unit{Priority: 2, Shape: one, Count: 40})
+		s.step()
+		// Five of the six workers are full, and every task that ends is followed by another.
+		s.add(planner.Unit{Priority: 1, Shape: whole, Count: 4, Gang: true, SameRack: true, Estimate: clock.Second})
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 120 {
+			s.endSome(0, random)
+			s.left[0] = 40
+			s.step()
+		}
+		Expect(s.running[1]).To(HaveLen(1))
+	})
+
 	It("takes no room for a unit that would not get it", func() {
 		s := newSite(2, 2)
 		s.add(planner.Unit{Priority: 2, Shape: one, Count: 32})
