planner, controller, workflow: units that can still be in time before late ones

Cause: under more work than there is room for, earliest objective first serves those that have missed theirs already while the next ones miss theirs. Ruled out: less urgent work before late urgent work (priorities stay first). Change: within a priority, units that can't meet their objective even if they start at once come after those that can; the chain of steps that is left counts. They stay before the hopeless ones, and lose no room they hold. Test: "serves units that can still meet their objective", by the stand-in site; the chain from a step, an empty specification.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -235,6 +235,7 @@
 		Service: r.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: r.Priority, Guaranteed: guaranteed,
 		Shape: p.shape(), Count: len(waiting), Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker,
 		Rank: begin + r.Objective(), Waited: now - p.ready, Estimate: p.step.Estimate,
+		Late:     !p.step.Lasting && now+r.Spec.ChainFrom(p.index) > begin+r.Objective(),
 		Hopeless: !p.step.Lasting && now > begin+lateFactor*r.Objective(),
 		Pay:      pay(p, guaranteed),
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -118,6 +118,8 @@
 	Fragile bool
 	// Hopeless units can't earn anything any more.
 	Hopeless bool
+	// Late units can't meet their objective any more, even if they start at once.
+	Late bool
 	// Rank orders units of the same priority, the least first.
 	Rank     clock.Millis
 	Waited   clock.Millis
@@ -239,6 +241,7 @@
 		falseFirst(!a.Guaranteed, !b.Guaranteed),
 		falseFirst(a.Hopeless, b.Hopeless),
 		cmp.Compare(a.Priority, b.Priority),
+		falseFirst(a.Late, b.Late),
 		cmp.Compare(a.Rank, b.Rank),
 	)
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -235,6 +235,18 @@
 		Expect(s.running[1]).To(HaveLen(1))
 	})
 
+	It("serves units that can still meet their objective before those that can't", func() {
+		s := newSite(1, 1)
+		s.add(planner.Unit{Priority: 1, Shape: whole, Count: 1, Rank: 1, Late: true})
+		s.add(planner.Unit{Priority: 1, Shape: whole, Count: 1, Rank: 2})
+		s.add(planner.Unit{Priority: 2, Shape: whole, Count: 1, Rank: 0})
+		s.step()
+		Expect(s.running[1]).To(HaveLen(1))
+		s.running[1] = nil
+		s.step()
+		Expect(s.running[0]).To(HaveLen(1), "the late one still comes before less urgent work")
+	})
+
 	It("takes no room for a unit that would not get it", func() {
 		s := newSite(2, 2)
 		s.add(planner.Unit{Priority: 2, Shape: one, Count: 32})
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/chestnutsail/chestnutsail/clock"
 )
@@ -126,18 +127,23 @@
 }
 
 // Chain returns the estimated time in milliseconds of the longest chain of steps.
-func (s *Spec) Chain() clock.Millis {
-	ends := make([]clock.Millis, len(s.Steps))
-	var longest clock.Millis
-	for i, step := range s.Steps {
-		var begin clock.Millis
-		for _, a := range step.After {
-			begin = max(begin, ends[a])
+func (s *Spec) Chain() clock.Millis { return slices.Max(append(s.chains(), 0)) }
+
+// ChainFrom returns the estimated time in milliseconds of the longest chain of steps that
+// begins with a step.
+func (s *Spec) ChainFrom(step int) clock.Millis { return s.chains()[step] }
+
+// chains returns the longest chain that begins with each step.
+func (s *Spec) chains() []clock.Millis {
+	chains := make([]clock.Millis, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		// All steps that come after this one have been added by now.
+		chains[i] += s.Steps[i].Estimate
+		for _, before := range s.Steps[i].After {
+			chains[before] = max(chains[before], chains[i])
 		}
-		ends[i] = begin + step.Estimate
-		longest = max(longest, ends[i])
 	}
-	return longest
+	return chains
 }
 
 // Lasting reports whether the job has tasks that run until it is cancelled.
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -40,6 +40,9 @@
 		}}}
 		Expect(r.Spec.Check()).To(Succeed())
 		Expect(r.Spec.Chain()).To(Equal(400 * clock.Millisecond))
+		Expect(r.Spec.ChainFrom(0)).To(Equal(350 * clock.Millisecond))
+		Expect(r.Spec.ChainFrom(2)).To(Equal(250 * clock.Millisecond))
+		Expect((&workflow.Spec{}).Chain()).To(BeZero())
 		Expect(r.Objective()).To(Equal(850 * clock.Millisecond))
 	})
 
