controller: idle workers witness for a failure domain that seems cut off

Cause: found by reading. Only workers with runs are looked at, so in a domain that is mostly idle three that hang would have the whole domain taken for cut off, while the idle ones could serve. And the time for a page on a narrow link was also given to the lists of configuration and of workers, which are small: a call that got lost would have held a new configuration up for 3.6 s. Change: while a domain seems cut off, its idle workers are asked at once; one that answers ends the suspicion. Only the list of jobs has the link's time. Test: "do not take idle workers of their failure domain along", red before.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -68,7 +68,7 @@
 	Decode func(key string, raw []byte) (agent.Worker, error)
 	// Term returns the term and whether the leadership is sure to be alive.
 	Term func() (uint64, bool)
-	// PageTimeout bounds the reading of one page of the store's keys, in milliseconds; 0
+	// PageTimeout bounds the reading of one page of the jobs' keys, in milliseconds; 0
 	// means storeTimeout.
 	PageTimeout clock.Millis
 	// Heard returns the age in milliseconds of the last change that the watch of jobs
@@ -92,9 +92,6 @@
 	storeTimeout = 1200 * clock.Millisecond
 	// retryPause is the time before a failed call is made again.
 	retryPause = 150 * clock.Millisecond
-	// maxSending is the number of orders under way at a time: more would only wait in the
-	// instance's link, and time out there.
-	maxSending = 24
 	// mailboxSize is the number of results that may wait for the goroutine of the state.
 	mailboxSize = 1024
 )
@@ -238,10 +235,9 @@
 	c.load(term)
 	c.servers = mirror.New(mirror.Options{
 		Store: c.opts.Store, Prefix: c.opts.Prefix, Clock: c.opts.Clock, Log: c.opts.Log,
-		PageTimeout: c.opts.PageTimeout,
-		Gap:         func() clock.Millis { return serversGap },
-		Replace:     func(entries []kv.Entry) { c.post(func() { c.onTerm(term, func() { c.replaceNodes(entries) }) }) },
-		Apply:       func(changes []kv.Change) { c.post(func() { c.onTerm(term, func() { c.applyNodes(changes) }) }) },
+		Gap:     func() clock.Millis { return serversGap },
+		Replace: func(entries []kv.Entry) { c.post(func() { c.onTerm(term, func() { c.replaceNodes(entries) }) }) },
+		Apply:   func(changes []kv.Change) { c.post(func() { c.onTerm(term, func() { c.applyNodes(changes) }) }) },
 	})
 }
 
--- a/controller/cut_test.go
+++ b/controller/cut_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -41,6 +42,38 @@
 		Eventually(w.workers[1].Running, 1500*time.Millisecond).Should(Equal(1))
 	})
 
+	It("do not take idle workers of their failure domain along that answer", func() {
+		w := newWorldOf(1, 10000)
+		for n := range 4 {
+			w.addTo("b", "r2-1", fmt.Sprint("b-", n))
+		}
+		i := w.join(nil)
+		Eventually(i.leads, soon).Should(BeTrue())
+		long := step(3)
+		long.Label, long.PerWorker = "r2-1", 1
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{long}})
+		var idle *platformtest.Worker
+		Eventually(func() int {
+			running := 0
+			for _, x := range w.workers[1:] {
+				running += x.Running()
+				if x.Running() == 0 {
+					idle = x
+				}
+			}
+			return running
+		}, soon).Should(Equal(3))
+		for _, x := range w.workers[1:] {
+			x.Silence(x != idle)
+		}
+		time.Sleep(2700 * time.Millisecond) // the answers to looks are due after 2 s
+		one := step(1)
+		one.Label = "r2-1"
+		one.Accels = 8
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{one}})
+		Eventually(idle.Running, time.Second).Should(Equal(1))
+	})
+
 	It("make their whole failure domain take no new work", func() {
 		w := newWorldOf(4, 10000)
 		for n := range 4 {
--- a/controller/domains.go
+++ b/controller/domains.go
@@ -67,3 +67,9 @@
 	c.cut = cut
 	return cut
 }
+
+// isWitness reports whether a worker is looked at only because others of its failure domain
+// do not answer: if it does, the domain is not cut off.
+func (c *Controller) isWitness(n *node, now clock.Millis) bool {
+	return c.cut[n.w.Domain] && n.listed && !n.failing && now-n.heard > domainSilence
+}
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -11,9 +11,14 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
-// sendingTime is the longest time in milliseconds for which an order counts as under way;
-// workers answer within a few round trips.
-const sendingTime = 150 * clock.Millisecond
+const (
+	// maxSending is the number of orders under way at a time: more would only wait in the
+	// instance's link, and time out there.
+	maxSending = 24
+	// sendingTime is the longest time in milliseconds for which an order counts as under
+	// way; workers answer within a few round trips.
+	sendingTime = 150 * clock.Millisecond
+)
 
 // order sends the start of a run. Without an answer the same order is sent again: a
 // worker carries it out once.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -159,7 +159,7 @@
 	})
 	f.kernel.Add("health", f.store)
 	f.configs = mirror.New(mirror.Options{
-		Store: store, Prefix: platform.ConfigKey, PageTimeout: pageTimeout(s), Clock: f.clock, Log: log,
+		Store: store, Prefix: platform.ConfigKey, Clock: f.clock, Log: log,
 		Replace: func(entries []kv.Entry) { f.adopt(entries) },
 		Apply: func(changes []kv.Change) {
 			for _, c := range changes {
--- a/planner/place.go
+++ b/planner/place.go
@@ -50,6 +50,7 @@
 	if u.DataRack != "" && p.waitsForData(u) {
 		w.rack = u.DataRack
 	}
+	// A gang that may still wait for a rack finds no room where others would be spread.
 	w.sameRack = u.Gang && u.SameRack && (u.Waited < maxRackWait || p.waitsForRack(u))
 	return w, len(u.Avoid) == 0 && u.PerWorker == 0
 }
