--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -217,6 +217,13 @@
 	Expect(i.desk.Submit(context.Background(), grant, spec).Verdict).To(Equal(intake.OK))
 }
 
+// complete has a short job run to its end.
+func (i *instance) complete(id string) {
+	GinkgoHelper()
+	i.submit(id, workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
+	Eventually(func() workflow.State { return i.state(id) }, soon).Should(Equal(workflow.Completed))
+}
+
 // state returns what a caller is told of a job.
 func (i *instance) state(id string) workflow.State {
 	v, _ := i.board.Find(id)
