scheduler: move an account's scattered work also for its small work

The account's two cells of 16 hold 27 in use, but the five free ones are 2, 1 and 2 on three workers, and the idle workers elsewhere were being emptied for another account's gang of eight. Only large works had smaller ones of their account moved, so it waited 61.5 s for an end.

Ruled out: the guarantee's ledger (the cells were bound and right), fairness (the account borrowed nothing), the memo of places seen to fail (the class was tried again at each change).

Change: after all that can be placed without a stop, works within the guarantee that found no place have smaller works of their account moved, as large ones have had.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -10,7 +10,8 @@
 
 // decide places what can be placed: urgent work first, then work within its
 // account's guarantee, then work that borrows, by weighted fairness between the
-// accounts, and last it makes room for large gangs that have waited too long.
+// accounts. What is then left of an account's guarantee in pieces too small for its
+// work is made whole, and last comes room for large gangs that have waited too long.
 func (c *Core) decide() {
 	for _, a := range c.accounts {
 		c.each(a, func(w *work) bool { return w.urgent() }, c.placeUrgent)
@@ -22,6 +23,9 @@
 	}
 	c.placeFair(queue.Quick)
 	c.placeFair(queue.Normal)
+	for _, a := range c.accounts {
+		c.placeScattered(a)
+	}
 	c.makeRoom()
 }
 
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -54,8 +54,24 @@
 
 // placePacked places a large work that its account's guarantee has room for, though
 // smaller works of the account are scattered over the cells, by moving those.
-func (c *Core) placePacked(w *work) bool {
-	if !c.large(w) || !c.covered(w) || w.plain() && w.class.packed == c.version {
+func (c *Core) placePacked(w *work) bool { return c.large(w) && c.pack(w) }
+
+// placeScattered does the same for an account's other works that have found no place at
+// all: they are within the guarantee, too, and to start within its bound.
+func (c *Core) placeScattered(a *account) {
+	if len(c.ledger.Of(a.name)) == 0 {
+		return
+	}
+	for i := 0; i < a.queue.Len(); {
+		w := a.queue.At(i)
+		if !w.needsAccels() || c.large(w) || !c.withinQuota(w) || !c.pack(w) {
+			i++
+		}
+	}
+}
+
+func (c *Core) pack(w *work) bool {
+	if !c.covered(w) || w.plain() && w.class.packed == c.version {
 		return false
 	}
 	smaller := func(v *work) bool {
