intake: keep the jobs of accounts apart

Cause: Admit checks that a key is some account's, and nothing compared the account or the queue with those of the job. Any account's key read, cancelled and 'handed in again' any other's job by its ID, also through another queue's path, and another body under a used ID was answered as accepted and lost.

Ruled out: the product's own callers' API (its store keys contain the account) and operators' calls (they name no job of a caller in serve).

Change: a call for a job of another account or queue is answered like one for a job that does not exist, 410, and logged; a submission under a used ID by another account, to another queue or with another body gets 409 (clash). Of the answers weighed, 401 and 404 would break the promise on routes and keys that are there. A submission that finds a record in the store reads it back before it is called accepted, and gets 504 if it can't. Public queues need no key, so their jobs stay open to who knows the ID. A replaced key keeps the account's jobs.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -54,13 +54,15 @@
 	NoKey Verdict = "nokey"
 	// NoJob means that no such job exists.
 	NoJob Verdict = "nojob"
+	// Clash means that the ID is taken by another job.
+	Clash Verdict = "clash"
 	// Invalid means that the call can't be understood.
 	Invalid Verdict = "invalid"
 )
 
 // Verdicts returns every verdict.
 func Verdicts() []Verdict {
-	return []Verdict{OK, Unready, Busy, Unsure, NoQueue, NoKey, NoJob, Invalid}
+	return []Verdict{OK, Unready, Busy, Unsure, NoQueue, NoKey, NoJob, Clash, Invalid}
 }
 
 // Call is a caller's request before it is matched with a queue.
@@ -233,8 +235,8 @@
 	if err := spec.Check(); err != nil {
 		return Answer{Verdict: Invalid, Reason: err.Error()}
 	}
-	if _, known := d.opts.Board.Find(g.ID); known {
-		return Answer{Verdict: OK, Reason: "accepted before"}
+	if view, known := d.opts.Board.Find(g.ID); known {
+		return d.again(g, view.Record, spec, "accepted before")
 	}
 	record := workflow.Record{
 		Queue: g.Queue.Name, Service: g.Queue.Service, Account: g.Account.Name,
@@ -249,7 +251,7 @@
 		d.opts.Board.Add(entry)
 		return Answer{Verdict: OK, Reason: "recorded"}
 	case kv.Conflict:
-		return Answer{Verdict: OK, Reason: "recorded before"}
+		return d.standing(ctx, g, spec)
 	case kv.Refused:
 		return Answer{Verdict: Busy, After: retryAfter, Reason: err.Error()}
 	default:
@@ -335,28 +337,6 @@
 	return view
 }
 
-// find looks a job up in this instance's view, and in the store if it is not there.
-func (d *Desk) find(ctx context.Context, g Grant) (board.View, *Answer) {
-	if view, ok := d.opts.Board.Find(g.ID); ok {
-		return view, nil
-	}
-	if !d.opts.Reachable() {
-		return board.View{}, &Answer{Verdict: Busy, After: retryAfter, Reason: errUnreachable.Error()}
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
-	defer cancel()
-	entries, _, err := d.opts.Store.List(ctx, board.JobPrefix(g.ID))
-	if err != nil {
-		return board.View{}, &Answer{Verdict: Busy, After: retryAfter, Reason: err.Error()}
-	}
-	d.opts.Board.Add(entries...)
-	view, ok := d.opts.Board.Find(g.ID)
-	if !ok {
-		return board.View{}, &Answer{Verdict: NoJob, Reason: "no such job"}
-	}
-	return view, nil
-}
-
 // Cancel records that a job is cancelled. A job that is over stays as it is.
 func (d *Desk) Cancel(ctx context.Context, g Grant) Answer {
 	view, answer := d.find(ctx, g)
