planner: keep at most one gang's room while half of a service is empty

Up to four gangs that wait for a rack each close all of its workers to other work, and headroom for urgent work closes up to 35 % more.

Ruled out by the logs: a run that a leader has lost (the tasks are in each plan), a stop taken in by another leader, strangers, quarantine, avoided workers (0 or 1 slot), a leader that hangs.

Change: while less than half of a service is in use, one gang alone holds room and headroom is a quarter at the most. Of equally tight workers those of the rack with the least room come first: IDs are random, so small tasks opened workers of all racks and gangs found none whole. Work that saves its progress counts as lost what it takes to resume (restoreMs) instead of up to a second. New: 'tasks wait although there is room', a line a second with what keeps them from it, and a counter; stops tell the work that they throw away.

Tests: planner 'room that is kept', three of its specs red before.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -52,6 +52,8 @@
 	Lease clock.Millis
 	// Stop is how long a worker takes to stop a run.
 	Stop clock.Millis
+	// Restore is how long a start takes to resume from a checkpoint.
+	Restore clock.Millis
 	// Beat is the time between two heartbeats of a worker.
 	Beat clock.Millis
 	// Retention is how long a finished job is kept.
@@ -119,6 +121,8 @@
 	resting  clock.Millis
 	wantPlan bool
 	planned  clock.Millis
+	// explained is when a plan last told why units wait that have room.
+	explained clock.Millis
 	// cut are the failure domains that do not answer.
 	cut map[string]bool
 	// demand is the recent peak of accelerators asked for by urgent work, by service.
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -45,9 +45,15 @@
 		return
 	}
 	w.in.Headroom = c.headroom(w, now)
+	if now-c.explained >= explainPeriod {
+		c.explained, w.in.Patience = now, stuckTime
+	}
 	out := planner.Plan(w.in)
 	took := c.opts.Clock.Now() - now
 	c.opts.Counters.Histogram("chestnutsail_plan_seconds").Update(float64(took) / float64(clock.Second))
+	for i := range out.Stuck {
+		c.reportStuck(w, &out.Stuck[i])
+	}
 	for _, s := range out.Starts {
 		c.startUnit(w, s)
 	}
@@ -292,18 +298,25 @@
 
 func (c *Controller) addWork(w *world, p *part, runs []*run, guaranteed bool, now clock.Millis) {
 	h := planner.Held{Priority: p.job.record.Priority, Guaranteed: guaranteed, Shape: p.shape(), Pinned: p.step.Lasting}
-	weight := float64(p.step.Cores)/1000 + accelCores*float64(p.step.Accels)
 	for _, r := range runs {
 		h.Nodes = append(h.Nodes, w.index[r.node])
-		lost := now - r.since
-		if r.began > 0 {
-			lost = now - r.began
-		}
-		if p.step.Checkpointing {
-			lost = min(lost, clock.Second)
-		}
-		h.Loss += weight * float64(lost) / float64(clock.Second)
+		h.Loss += c.loss(r, now)
 	}
 	w.in.Held = append(w.in.Held, h)
 	w.held = append(w.held, runs)
 }
+
+// loss returns the work in core-seconds that a stop of a run throws away.
+func (c *Controller) loss(r *run, now clock.Millis) float64 {
+	step := r.task.part.step
+	lost := now - r.since
+	if r.began > 0 {
+		lost = now - r.began
+	}
+	if step.Checkpointing {
+		// A stop saves the progress, and only the way back to it is paid for.
+		lost = min(lost, c.opts.Limits().Restore)
+	}
+	weight := float64(step.Cores)/1000 + accelCores*float64(step.Accels)
+	return weight * float64(lost) / float64(clock.Second)
+}
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -147,7 +147,12 @@
 	case stopping:
 		return
 	}
-	c.opts.Log.WithFields(r.fields()).WithField("reason", reason).Info("controller: run is stopped")
+	lost := 0.0
+	if r.state == present && !r.task.done {
+		lost = c.loss(r, c.opts.Clock.Now())
+	}
+	c.opts.Counters.Counter(`chestnutsail_lost_core_seconds_total{reason="` + reason + `"}`).Add(int(lost))
+	c.opts.Log.WithFields(r.fields()).WithFields(logrus.Fields{"reason": reason, "lost_core_s": int64(lost)}).Info("controller: run is stopped")
 	if r.state == written {
 		// It was never sent: once the record is written, it is simply not ordered.
 		c.gone(r, agent.Stopped, "")
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -210,7 +210,7 @@
 // limits returns the bounds in force for the jobs.
 func (f *Fleet) limits() controller.Limits {
 	b := f.bounds.Load()
-	return controller.Limits{Lease: b.MaxLease, Stop: b.Stop, Beat: b.Beat, Retention: b.Retention}
+	return controller.Limits{Lease: b.MaxLease, Stop: b.Stop, Restore: b.Restore, Beat: b.Beat, Retention: b.Retention}
 }
 
 // Reload takes settings that have changed. Bounds are in force at once; an address is
--- a/planner/headroom.go
+++ b/planner/headroom.go
@@ -16,6 +16,9 @@
 	missing := make(map[string]int, len(p.Headroom))
 	for service, accels := range p.Headroom {
 		missing[service] = accels
+		if use := p.uses[service]; use.halfEmpty() {
+			missing[service] = min(accels, use.all/idlePart)
+		}
 	}
 	others := p.othersByRack()
 	racks := slices.Clone(p.racks)
--- a/planner/place.go
+++ b/planner/place.go
@@ -20,9 +20,12 @@
 	if (node.Suspect || node.Slow) && (u.Fragile || u.Gang) {
 		return false
 	}
-	return u.Label == "" || slices.Contains(node.Labels, u.Label)
+	return node.labelled(u.Label)
 }
 
+// labelled reports whether a node has a label; every node has "".
+func (n *Node) labelled(label string) bool { return label == "" || slices.Contains(n.Labels, label) }
+
 // slots returns how many of a unit's tasks fit into room on a node.
 func (p *plan) slots(u *Unit, n int, room Shape) int {
 	s := room.Slots(u.Shape)
@@ -198,8 +201,9 @@
 	return nodes
 }
 
-// prefer orders nodes: sound before suspect and slow ones, those near the data first,
-// then those with the least room, so that whole workers stay whole.
+// prefer orders nodes: sound before suspect and slow ones, those near the data first, then
+// those with the least room, in the racks with the least room, so that whole workers and
+// whole racks stay whole for gangs.
 func (p *plan) prefer(u *Unit, a, b int, room func(n int) Shape) int {
 	x, y := &p.Nodes[a], &p.Nodes[b]
 	ra, rb := room(a), room(b)
@@ -209,6 +213,7 @@
 		fasterFirst(u, x, y),
 		falseFirst(u.DataRack != "" && x.Rack != u.DataRack, u.DataRack != "" && y.Rack != u.DataRack),
 		cmp.Compare(ra.Accels, rb.Accels),
+		cmp.Compare(p.rackFree[x.Rack], p.rackFree[y.Rack]),
 		cmp.Compare(ra.Cores, rb.Cores),
 	)
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -58,7 +58,7 @@
 const (
 	// maxSlots bounds the tasks that ask for nothing on one worker.
 	maxSlots = 64
-	// maxReservations bounds the gangs for which room is kept free at a time.
+	// maxReservations bounds the gangs of a service for which room is kept free at a time.
 	maxReservations = 4
 	// maxEvictions bounds the units for which others make way in one plan.
 	maxEvictions = 6
@@ -149,6 +149,9 @@
 	// Headroom is the number of accelerators of each service that are kept free for urgent
 	// units that are still to come; units of other priorities do not use them.
 	Headroom map[string]int
+	// Patience is the wait in milliseconds after which a unit that has room is explained;
+	// 0 explains none.
+	Patience clock.Millis
 }
 
 // Start tells where tasks of a unit start: one entry in Nodes a task.
@@ -164,15 +167,19 @@
 	Evict []int
 	// Blocked are the units that found no room, in their order.
 	Blocked []int
+	// Stuck are some of those that wait although what is free would hold them.
+	Stuck []Stuck
 }
 
 type plan struct {
 	Input
-	out     Output
-	byRack  map[string][]int
-	racks   []string
-	onNode  [][]int
-	evicted []bool
+	out    Output
+	byRack map[string][]int
+	// rackFree is the number of accelerators that are free in each rack.
+	rackFree map[string]int
+	racks    []string
+	onNode   [][]int
+	evicted  []bool
 	// everywhere lists all nodes.
 	everywhere []int
 	// noneFree and noneSoon are the wants that found no room; what is free only shrinks,
@@ -180,12 +187,14 @@
 	noneFree misses
 	noneSoon misses
 	options  []option
-	// reserved nodes are kept for a gang that waits.
-	reserved []bool
+	// reserved nodes are kept for a gang that waits; reservations counts those gangs and uses
+	// what is in use, by service.
+	reserved     []bool
+	reservations map[string]int
+	uses         map[string]use
 	// urgentOnly nodes are part of the headroom, once headroomKept.
 	urgentOnly   []bool
 	headroomKept bool
-	reservations int
 	evictions    int
 }
 
@@ -198,13 +207,14 @@
 		}
 		if !p.serve(i) {
 			p.out.Blocked = append(p.out.Blocked, i)
+			p.explain(i)
 		}
 	}
 	return p.out
 }
 
 func newPlan(in Input) *plan {
-	p := &plan{Input: in, byRack: make(map[string][]int), onNode: make([][]int, len(in.Nodes))}
+	p := &plan{Input: in, byRack: make(map[string][]int), rackFree: make(map[string]int), onNode: make([][]int, len(in.Nodes))}
 	p.Nodes = slices.Clone(in.Nodes)
 	p.noneFree, p.noneSoon = make(misses), make(misses)
 	for i, n := range p.Nodes {
@@ -213,9 +223,11 @@
 			p.racks = append(p.racks, n.Rack)
 		}
 		p.byRack[n.Rack] = append(p.byRack[n.Rack], i)
+		p.rackFree[n.Rack] += n.Free.Accels
 	}
 	slices.Sort(p.racks)
 	p.reserved = make([]bool, len(p.Nodes))
+	p.reservations, p.uses = make(map[string]int), countUse(p.Nodes)
 	p.urgentOnly = make([]bool, len(p.Nodes))
 	p.evicted = make([]bool, len(in.Held))
 	for h, held := range in.Held {
@@ -276,7 +288,7 @@
 		p.evictions++
 		return false
 	}
-	if u.Gang && p.reservations < maxReservations && !u.Hopeless {
+	if u.Gang && !u.Hopeless && p.mayReserve(u) {
 		p.reserve(u)
 	}
 	return false
@@ -285,6 +297,7 @@
 func (p *plan) start(i int, nodes []int) {
 	u := &p.Units[i]
 	for _, n := range nodes {
+		p.rackFree[p.Nodes[n].Rack] -= u.Shape.Accels
 		p.Nodes[n].Free = p.Nodes[n].Free.Sub(u.Shape)
 		p.Nodes[n].Soon = p.Nodes[n].Soon.Sub(u.Shape)
 	}
--- /dev/null
+++ b/planner/reserve_test.go
@@ -0,0 +1,75 @@
+package planner_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/planner"
+)
+
+// The load: gangs that want a whole rack, one worker of which is busy for long, beside small
+// tasks that could run at once.
+var _ = Describe("room that is kept for work that waits", func() {
+	one := planner.Shape{Cores: 1000, Memory: 1000, Accels: 1}
+	whole := planner.Shape{Cores: 8000, Memory: 1000, Accels: 8}
+
+	// started returns the number of small tasks that start on six racks of four workers of
+	// which so many a rack are busy.
+	started := func(busy, gangs, headroom int) int {
+		s := newSite(6, 4)
+		s.headroom = headroom
+		in, _, _ := s.input()
+		for n := range in.Nodes {
+			if n%4 < busy {
+				in.Nodes[n].Free, in.Nodes[n].Soon = planner.Shape{}, planner.Shape{}
+			}
+		}
+		for range gangs {
+			in.Units = append(in.Units, planner.Unit{Service: "svc", Priority: 1, Shape: whole, Count: 4, Gang: true, SameRack: true, Estimate: clock.Minute})
+		}
+		in.Units = append(in.Units, planner.Unit{Service: "svc", Priority: 2, Shape: one, Count: 200})
+		tasks := 0
+		for _, x := range planner.Plan(in).Starts {
+			tasks += len(x.Nodes)
+		}
+		return tasks
+	}
+
+	DescribeTable("leaves small tasks",
+		func(busy, gangs, headroom, tasks int) { Expect(started(busy, gangs, headroom)).To(Equal(tasks)) },
+		Entry("all that is free if nothing else waits", 1, 0, 0, 18*8),
+		Entry("all but one rack while less than half is in use", 1, 4, 0, 15*8),
+		Entry("all but four racks while half is in use", 2, 4, 0, 4*8),
+		Entry("three quarters of all while less than half is in use, whatever urgent work is expected", 1, 0, 100, 18*8-48),
+		Entry("what urgent work is not expected to want while half is in use", 2, 0, 64, 12*8-64),
+	)
+
+	It("is what tasks that wait are told to wait for", func() {
+		s := newSite(2, 2)
+		in, _, _ := s.input()
+		for n := range in.Nodes {
+			in.Nodes[n].Free, in.Nodes[n].Soon = planner.Shape{}, planner.Shape{}
+		}
+		in.Nodes[1].Free, in.Nodes[1].Soon = in.Nodes[1].Capacity, in.Nodes[1].Capacity
+		in.Nodes[3].Free, in.Nodes[3].Soon = in.Nodes[3].Capacity, in.Nodes[3].Capacity
+		in.Nodes[3].Suspect = true
+		in.Patience = 3 * clock.Second
+		gang := planner.Unit{Service: "svc", Priority: 1, Shape: whole, Count: 2, Gang: true, SameRack: true, Estimate: clock.Minute}
+		small := planner.Unit{Service: "svc", Priority: 2, Shape: one, Count: 1, Waited: 3 * clock.Second, Fragile: true}
+		young := small
+		young.Waited = 2 * clock.Second
+		in.Units = []planner.Unit{gang, small, young}
+		Expect(planner.Plan(in).Stuck).To(Equal([]planner.Stuck{{Unit: 1, Reserved: 8, Unsound: 8}}))
+	})
+
+	It("is opened rack by rack", func() {
+		s := newSite(3, 2)
+		in, _, _ := s.input()
+		in.Nodes[4].Free = in.Nodes[4].Capacity.Sub(whole)
+		in.Units = []planner.Unit{{Service: "svc", Priority: 2, Shape: one, Count: 8}}
+		starts := planner.Plan(in).Starts
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Nodes).To(HaveEach(5), "the rack that is in use is filled first")
+	})
+})
