--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -160,6 +160,26 @@
 		Expect(w.workers[0].Running()).To(BeZero())
 	})
 
+	DescribeTable("of work that saves nothing, on a worker that drains,",
+		func(gang bool, length string, starts int) {
+			w := newWorldOf(1, 10*clock.Second)
+			i := w.join(nil)
+			Eventually(i.leads, soon).Should(BeTrue())
+			work := step(2)
+			work.Gang = gang
+			i.submit(jobID(1), workflow.Spec{Payload: "gang=1 ms=" + length, Steps: []workflow.Step{work}})
+			Eventually(w.workers[0].Running, soon).Should(Equal(2))
+			time.Sleep(800 * time.Millisecond) // until its pace is known
+			w.add("i-9")
+			w.workers[0].List("draining")
+			Eventually(func() int { return len(w.starts(jobID(1) + ".0.0.0")) }, soon).Should(Equal(starts))
+			Consistently(func() int { return len(w.starts(jobID(1) + ".0.0.0")) }, 500*time.Millisecond).Should(Equal(starts))
+		},
+		Entry("a gang that can't end in time starts elsewhere", true, "12000", 2),
+		Entry("tasks that can't end in time start elsewhere", false, "12000", 2),
+		Entry("a gang that may still end stays", true, "2500", 1),
+	)
+
 	It("starts the runs of a silent worker elsewhere after its leases have lapsed, not before", func() {
 		w := newWorldOf(2, 4*clock.Second)
 		i := w.join(nil)
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -327,26 +327,3 @@
 	}
 	c.look(n)
 }
-
-// empty moves work that saves its progress off a worker that drains. Other work stays:
-// workers often serve on for longer than they say.
-func (c *Controller) empty(n *node, now clock.Millis) {
-	for r := range n.runs {
-		p := r.task.part
-		if r.state != present || p.step.Lasting {
-			continue
-		}
-		left, known := r.left()
-		ends := known && now+clock.Millis(left) < n.leaves
-		if ends || !p.step.Checkpointing {
-			continue
-		}
-		if !p.step.Gang {
-			c.halt(r, "its worker drains")
-			continue
-		}
-		for _, member := range p.runs() {
-			c.halt(member, "a worker of its gang drains")
-		}
-	}
-}
