planner: compare workers by one number, and rest after long plans

Change: a worker's place in the order is one number, worked out once for each candidate, with the rack's room by index. Room that does not fit is found before anything is divided. After a plan the leader rests four times as long as it took, 15 ms at the least, so that planning takes a fifth of its time at most.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -86,8 +86,10 @@
 }
 
 const (
-	// planGap is the least time in milliseconds between two plans.
-	planGap = 15 * clock.Millisecond
+	// planGap is the least time in milliseconds between two plans, planRest how many times
+	// as long as the last plan took it is: a leader has to answer callers and workers, too.
+	planGap  = 15 * clock.Millisecond
+	planRest = 4
 	// tickPeriod is the time between two looks at what only time changes.
 	tickPeriod = 100 * clock.Millisecond
 	// storeTimeout bounds one call of the store.
@@ -121,6 +123,8 @@
 	resting  clock.Millis
 	wantPlan bool
 	planned  clock.Millis
+	// gap is the time in milliseconds from one plan to the next.
+	gap clock.Millis
 	// explained is when a plan last told why units wait that have room.
 	explained clock.Millis
 	// cut are the failure domains that do not answer.
@@ -200,7 +204,7 @@
 			continue
 		}
 		if c.wantPlan {
-			if wait := c.planned + planGap - c.opts.Clock.Now(); wait > 0 {
+			if wait := c.planned + c.gap - c.opts.Clock.Now(); wait > 0 {
 				plan.Reset(wait.Duration())
 			} else {
 				c.plan()
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -50,6 +50,7 @@
 	}
 	out := planner.Plan(w.in)
 	took := c.opts.Clock.Now() - now
+	c.gap = max(planGap, planRest*took)
 	c.opts.Counters.Histogram("chestnutsail_plan_seconds").Update(float64(took) / float64(clock.Second))
 	for i := range out.Stuck {
 		c.reportStuck(w, &out.Stuck[i])
--- a/planner/place.go
+++ b/planner/place.go
@@ -169,30 +169,35 @@
 	return best
 }
 
-// option is a node with room for some tasks.
-type option struct{ node, slots int }
+// option is a node with room for some tasks, by the order in which nodes are preferred.
+type option struct {
+	order uint64
+	node  int32
+	slots int32
+}
 
 // fill returns nodes out of a set, the tightest first.
 func (p *plan) fill(u *Unit, among []int, room func(n int) Shape) []int {
 	options := p.options[:0]
 	total := 0
 	for _, n := range among {
-		s := p.slots(u, n, room(n))
+		free := room(n)
+		s := p.slots(u, n, free)
 		if s == 0 || !p.suits(u, n) {
 			continue
 		}
-		options = append(options, option{n, s})
+		options = append(options, option{p.prefer(u, n, free), int32(n), int32(s)})
 		total += s
 	}
 	p.options = options
 	if total == 0 || (u.Gang && total < u.Count) {
 		return nil
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return p.prefer(u, a.node, b.node, room) })
+	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.order, b.order) })
 	nodes := make([]int, 0, min(total, u.Count))
 	for _, o := range options {
-		for range min(o.slots, u.Count-len(nodes)) {
-			nodes = append(nodes, o.node)
+		for range min(int(o.slots), u.Count-len(nodes)) {
+			nodes = append(nodes, int(o.node))
 		}
 		if len(nodes) == u.Count {
 			break
@@ -201,30 +206,60 @@
 	return nodes
 }
 
-// prefer orders nodes: sound before suspect and slow ones, those near the data first, then
-// those with the least room, in the racks with the least room, so that whole workers and
-// whole racks stay whole for gangs.
-func (p *plan) prefer(u *Unit, a, b int, room func(n int) Shape) int {
-	x, y := &p.Nodes[a], &p.Nodes[b]
-	ra, rb := room(a), room(b)
-	return cmp.Or(
-		falseFirst(x.Suspect, y.Suspect),
-		falseFirst(x.Slow, y.Slow),
-		fasterFirst(u, x, y),
-		falseFirst(u.DataRack != "" && x.Rack != u.DataRack, u.DataRack != "" && y.Rack != u.DataRack),
-		cmp.Compare(ra.Accels, rb.Accels),
-		cmp.Compare(p.rackFree[x.Rack], p.rackFree[y.Rack]),
-		cmp.Compare(ra.Cores, rb.Cores),
-	)
+// Widths in bits of the parts of a node's order. Together they fill 64; the last part, the
+// node's index, makes every order unlike all others.
+const (
+	flagBits  = 1
+	speedBits = 6
+	accelBits = 8
+	rackBits  = 13
+	coreBits  = 18
+	indexBits = 16
+)
+
+// prefer returns the place of a node in the order of preference, the least first: sound
+// before suspect and slow ones, those near the data first, then those with the least room,
+// in the racks with the least room, so that whole workers and whole racks stay whole for
+// gangs. Comparing numbers keeps the sorting cheap.
+func (p *plan) prefer(u *Unit, n int, room Shape) uint64 {
+	x := &p.Nodes[n]
+	var o order
+	o.flag(x.Suspect)
+	o.flag(x.Slow)
+	o.add(slowness(u, x), speedBits)
+	o.flag(u.DataRack != "" && x.Rack != u.DataRack)
+	o.add(room.Accels, accelBits)
+	o.add(p.rackFree[p.rackOf[n]], rackBits)
+	o.add(room.Cores, coreBits)
+	o.add(n, indexBits)
+	return uint64(o)
+}
+
+// order is a number that is made of parts, the most important first.
+type order uint64
+
+// add appends a part; what does not fit counts as the most that does.
+func (o *order) add(value, bits int) {
+	most := 1<<bits - 1
+	*o = *o<<bits | order(min(max(value, 0), most))
+}
+
+func (o *order) flag(set bool) {
+	value := 0
+	if set {
+		value = 1
+	}
+	o.add(value, flagBits)
 }
 
 // speedStep is the difference in speed that counts.
 const speedStep = 0.1
 
-// fasterFirst orders nodes for urgent work, whose objective is a small multiple of its length.
-func fasterFirst(u *Unit, x, y *Node) int {
+// slowness orders nodes by their speed for urgent work, whose objective is a small multiple
+// of its length; other work takes them as they come.
+func slowness(u *Unit, x *Node) int {
 	if u.Priority > 0 {
 		return 0
 	}
-	return cmp.Compare(math.Round(y.Speed/speedStep), math.Round(x.Speed/speedStep))
+	return 1<<speedBits/2 - int(math.Round(x.Speed/speedStep))
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -41,13 +41,20 @@
 
 // Slots returns how many times one fits into s.
 func (s Shape) Slots(one Shape) int {
-	n := maxSlots
-	for _, d := range [...][2]int{{s.Cores, one.Cores}, {s.Memory, one.Memory}, {s.Accels, one.Accels}} {
-		if d[1] > 0 {
-			n = min(n, d[0]/d[1])
-		}
+	n := fits(maxSlots, s.Accels, one.Accels)
+	n = fits(n, s.Cores, one.Cores)
+	return fits(n, s.Memory, one.Memory)
+}
+
+// fits bounds a number of tasks by one resource. Dividing is dear, and most nodes are full.
+func fits(n, has, one int) int {
+	switch {
+	case one <= 0 || n == 0:
+		return n
+	case has < one:
+		return 0
 	}
-	return max(n, 0)
+	return min(n, has/one)
 }
 
 // least returns the smaller of s and o in each dimension.
@@ -175,8 +182,9 @@
 	Input
 	out    Output
 	byRack map[string][]int
-	// rackFree is the number of accelerators that are free in each rack.
-	rackFree map[string]int
+	// rackOf is each node's rack, rackFree the number of accelerators that are free in each.
+	rackOf   []int
+	rackFree []int
 	racks    []string
 	onNode   [][]int
 	evicted  []bool
@@ -214,7 +222,7 @@
 }
 
 func newPlan(in Input) *plan {
-	p := &plan{Input: in, byRack: make(map[string][]int), rackFree: make(map[string]int), onNode: make([][]int, len(in.Nodes))}
+	p := &plan{Input: in, byRack: make(map[string][]int), onNode: make([][]int, len(in.Nodes))}
 	p.Nodes = slices.Clone(in.Nodes)
 	p.noneFree, p.noneSoon = make(misses), make(misses)
 	for i, n := range p.Nodes {
@@ -223,9 +231,9 @@
 			p.racks = append(p.racks, n.Rack)
 		}
 		p.byRack[n.Rack] = append(p.byRack[n.Rack], i)
-		p.rackFree[n.Rack] += n.Free.Accels
 	}
 	slices.Sort(p.racks)
+	p.countRacks()
 	p.reserved = make([]bool, len(p.Nodes))
 	p.reservations, p.uses = make(map[string]int), countUse(p.Nodes)
 	p.urgentOnly = make([]bool, len(p.Nodes))
@@ -238,6 +246,17 @@
 	return p
 }
 
+// countRacks numbers the racks and counts what is free in each.
+func (p *plan) countRacks() {
+	p.rackOf, p.rackFree = make([]int, len(p.Nodes)), make([]int, len(p.racks))
+	for r, rack := range p.racks {
+		for _, n := range p.byRack[rack] {
+			p.rackOf[n] = r
+			p.rackFree[r] += p.Nodes[n].Free.Accels
+		}
+	}
+}
+
 // order returns the units' indices in the order in which they are served.
 func (p *plan) order() []int {
 	order := make([]int, len(p.Units))
@@ -297,7 +316,7 @@
 func (p *plan) start(i int, nodes []int) {
 	u := &p.Units[i]
 	for _, n := range nodes {
-		p.rackFree[p.Nodes[n].Rack] -= u.Shape.Accels
+		p.rackFree[p.rackOf[n]] -= u.Shape.Accels
 		p.Nodes[n].Free = p.Nodes[n].Free.Sub(u.Shape)
 		p.Nodes[n].Soon = p.Nodes[n].Soon.Sub(u.Shape)
 	}
