planner: let work that has waited use the headroom while half is empty

Ruled out: reservations (0 to 2 slots, the rule of one gang held), the gang's rack (it wanted none), avoided or unsound workers (none).

Change: while less than half of a service is in use, work that has waited 2 s may use the headroom; the platform's bound on work that could run is 3 s.

Tests: planner 'is not kept as headroom', red before.

--- a/planner/headroom.go
+++ b/planner/headroom.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/chestnutsail/chestnutsail/clock"
 )
 
 // keepHeadroom marks the nodes that only urgent units may use from now on in the plan: the
@@ -35,6 +37,15 @@
 	}
 }
 
+// headroomPatience is how long work that could run waits for headroom while the service is
+// half empty; the platform's bound on such a wait is 3 s.
+const headroomPatience = 2 * clock.Second
+
+// mayUseHeadroom reports whether a unit may use the nodes that are kept for urgent work.
+func (p *plan) mayUseHeadroom(u *Unit) bool {
+	return u.Priority == 0 || (u.Waited >= headroomPatience && p.uses[u.Service].halfEmpty())
+}
+
 // othersByRack returns the accelerators in use by work that is not urgent.
 func (p *plan) othersByRack() map[string]int {
 	use := make(map[string]int, len(p.racks))
--- a/planner/place.go
+++ b/planner/place.go
@@ -14,7 +14,7 @@
 	if !node.Usable || node.Service != u.Service || u.Avoid[n] || p.reserved[n] {
 		return false
 	}
-	if p.urgentOnly[n] && u.Priority > 0 {
+	if p.urgentOnly[n] && !p.mayUseHeadroom(u) {
 		return false
 	}
 	if (node.Suspect || node.Slow) && (u.Fragile || u.Gang) {
@@ -44,12 +44,12 @@
 	gang     bool
 	sameRack bool
 	fragile  bool
-	urgent   bool
+	headroom bool
 }
 
 // wantOf returns a unit's want, and whether nothing else bounds its places.
 func (p *plan) wantOf(u *Unit) (want, bool) {
-	w := want{shape: u.Shape, service: u.Service, label: u.Label, gang: u.Gang, fragile: u.Fragile, urgent: u.Priority == 0}
+	w := want{shape: u.Shape, service: u.Service, label: u.Label, gang: u.Gang, fragile: u.Fragile, headroom: p.mayUseHeadroom(u)}
 	if u.DataRack != "" && p.waitsForData(u) {
 		w.rack = u.DataRack
 	}
--- a/planner/reserve_test.go
+++ b/planner/reserve_test.go
@@ -45,6 +45,28 @@
 		Entry("what urgent work is not expected to want while half is in use", 2, 0, 64, 12*8-64),
 	)
 
+	It("is not kept as headroom from a gang that has waited while less than half is in use", func() {
+		for _, c := range []struct {
+			busy   int
+			waited clock.Millis
+			starts int
+		}{{1, 1900, 0}, {1, 2000, 1}, {2, 2000, 0}} {
+			s := newSite(6, 4)
+			s.headroom = 24 * 8
+			in, _, _ := s.input()
+			for n := range in.Nodes {
+				if n%4 < c.busy {
+					in.Nodes[n].Free, in.Nodes[n].Soon = planner.Shape{}, planner.Shape{}
+				}
+			}
+			in.Units = []planner.Unit{{Service: "svc", Priority: 1, Shape: whole, Count: 13, Gang: true, Estimate: clock.Minute, Waited: c.waited}}
+			if c.busy == 2 {
+				in.Units[0].Count = 5
+			}
+			Expect(planner.Plan(in).Starts).To(HaveLen(c.starts), "%d of 4 busy, after %d ms", c.busy, c.waited)
+		}
+	})
+
 	It("is what tasks that wait are told to wait for", func() {
 		s := newSite(2, 2)
 		in, _, _ := s.input()
--- a/planner/stuck.go
+++ b/planner/stuck.go
@@ -54,7 +54,7 @@
 		return &s.Unsound
 	case p.reserved[n]:
 		return &s.Reserved
-	case p.urgentOnly[n] && u.Priority > 0:
+	case p.urgentOnly[n] && !p.mayUseHeadroom(u):
 		return &s.Headroom
 	}
 	return &s.Free
