planner: tell a half empty service by its cores where it has no accelerators

By accelerators such a service was never half empty, and four gangs could close it to other work that could run.

Ruled out by a spec: cores and accelerators weighed together (an accelerator as 8 cores); a service whose accelerators are all in use then counts as half empty and urgent gangs stop more than half as much as without headroom.

Change: by accelerators where there are any, by cores otherwise. Test: planner 'is measured by cores', red before.

--- a/planner/headroom.go
+++ b/planner/headroom.go
@@ -19,7 +19,7 @@
 	for service, accels := range p.Headroom {
 		missing[service] = accels
 		if use := p.uses[service]; use.halfEmpty() {
-			missing[service] = min(accels, use.all/idlePart)
+			missing[service] = min(accels, use.all.Accels/idlePart)
 		}
 	}
 	others := p.othersByRack()
@@ -37,9 +37,14 @@
 	}
 }
 
-// headroomPatience is how long work that could run waits for headroom while the service is
-// half empty; the platform's bound on such a wait is 3 s.
-const headroomPatience = 2 * clock.Second
+const (
+	// idlePart is the divisor for the part of a service's accelerators that headroom is at the
+	// most while the service is half empty.
+	idlePart = 4
+	// headroomPatience is how long work that could run waits for headroom while the service is
+	// half empty; the platform's bound on such a wait is 3 s.
+	headroomPatience = 2 * clock.Second
+)
 
 // mayUseHeadroom reports whether a unit may use the nodes that are kept for urgent work.
 func (p *plan) mayUseHeadroom(u *Unit) bool {
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -64,10 +64,6 @@
 	return nil
 }
 
-// idlePart is the divisor for the part of a service's accelerators that is kept at the most,
-// as headroom, while the service is half empty.
-const idlePart = 4
-
 // mayReserve reports whether room may be kept for one more gang of a service. While the
 // service is half empty only one gang holds room, or work would wait that could run.
 func (p *plan) mayReserve(u *Unit) bool {
@@ -77,23 +73,3 @@
 	}
 	return p.reservations[u.Service] < most
 }
-
-// use counts the accelerators of a service's usable nodes.
-type use struct{ busy, all int }
-
-func (u use) halfEmpty() bool { return 2*u.busy < u.all }
-
-func countUse(nodes []Node) map[string]use {
-	uses := make(map[string]use)
-	for i := range nodes {
-		n := &nodes[i]
-		if !n.Usable {
-			continue
-		}
-		u := uses[n.Service]
-		u.busy += n.Capacity.Accels - n.Free.Accels
-		u.all += n.Capacity.Accels
-		uses[n.Service] = u
-	}
-	return uses
-}
--- a/planner/reserve_test.go
+++ b/planner/reserve_test.go
@@ -85,6 +85,26 @@
 		Expect(planner.Plan(in).Stuck).To(Equal([]planner.Stuck{{Unit: 1, Reserved: 8, Unsound: 8}}))
 	})
 
+	It("is measured by cores where workers have no accelerators", func() {
+		s := newSite(6, 4)
+		for n := range s.nodes {
+			s.nodes[n].Capacity.Accels = 0
+		}
+		in, _, _ := s.input()
+		for n := range in.Nodes {
+			if n%4 == 0 {
+				in.Nodes[n].Free, in.Nodes[n].Soon = planner.Shape{}, planner.Shape{}
+			}
+		}
+		for range 4 {
+			in.Units = append(in.Units, planner.Unit{Service: "svc", Priority: 1, Shape: in.Nodes[1].Capacity, Count: 4, Gang: true, SameRack: true, Estimate: clock.Minute})
+		}
+		in.Units = append(in.Units, planner.Unit{Service: "svc", Priority: 2, Shape: planner.Shape{Cores: 1000, Memory: 1000}, Count: 2000})
+		starts := planner.Plan(in).Starts
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Nodes).To(HaveLen(15*32), "one rack is kept")
+	})
+
 	It("is opened rack by rack", func() {
 		s := newSite(3, 2)
 		in, _, _ := s.input()
