planner: open the headroom to waiting work by all resources, not one

By accelerators alone more than half of the service was in use, so the rule for half empty services did not hold.

Ruled out: avoided and unsound workers (none), the rack or data of the tasks (none wanted), the leader (it placed others meanwhile).

Change: work that has waited 2 s may use the headroom also where less than half is in use by cores and accelerators together, as the platform prices them. Reservations and the quarter stay as they are: measured so, a service whose accelerators are all in use would count as half empty (a spec of headroom fails).

Tests: planner 'that need little of what is short', red without the change.

--- a/intake/owner_test.go
+++ b/intake/owner_test.go
@@ -31,7 +31,8 @@
 	h := &hall{store: platformtest.NewStore(), cfg: &site.Config{
 		Version: 1,
 		Queues: []site.Queue{
-			{Name: "sweeps", Host: "h", Prefix: "/s/", Service: "svc"}, {Name: "checks", Host: "h", Prefix: "/c/", Service: "svc"},
+			{Name: "sweeps", Host: "h", Prefix: "/s/", Service: "svc"},
+			{Name: "checks", Host: "h", Prefix: "/c/", Service: "svc"},
 			{Name: "open", Host: "h", Prefix: "/o/", Service: "svc", Public: true},
 		},
 		Accounts: []site.Account{{Name: "a", Keys: []string{"key-a"}}, {Name: "b", Keys: []string{"key-b"}}},
--- a/planner/headroom.go
+++ b/planner/headroom.go
@@ -42,13 +42,13 @@
 	// most while the service is half empty.
 	idlePart = 4
 	// headroomPatience is how long work that could run waits for headroom while the service is
-	// half empty; the platform's bound on such a wait is 3 s.
+	// roomy; the platform's bound on such a wait is 3 s.
 	headroomPatience = 2 * clock.Second
 )
 
 // mayUseHeadroom reports whether a unit may use the nodes that are kept for urgent work.
 func (p *plan) mayUseHeadroom(u *Unit) bool {
-	return u.Priority == 0 || (u.Waited >= headroomPatience && p.uses[u.Service].halfEmpty())
+	return u.Priority == 0 || (u.Waited >= headroomPatience && p.uses[u.Service].isRoomy())
 }
 
 // othersByRack returns the accelerators in use by work that is not urgent.
--- a/planner/reserve_test.go
+++ b/planner/reserve_test.go
@@ -67,6 +67,24 @@
 		}
 	})
 
+	It("is not kept as headroom from tasks that need little of what is short", func() {
+		s := newSite(6, 4)
+		s.headroom = 24 * 8
+		in, _, _ := s.input()
+		for n := range in.Nodes {
+			// Five of eight accelerators are in use, and few cores: 45 of 96 by weight.
+			in.Nodes[n].Free = in.Nodes[n].Free.Sub(one.Times(5))
+			in.Nodes[n].Soon = in.Nodes[n].Free
+		}
+		for _, c := range []struct {
+			waited clock.Millis
+			tasks  int
+		}{{1900, 0}, {2000, 1}} {
+			in.Units = []planner.Unit{{Service: "svc", Priority: 2, Shape: one, Count: 4, Waited: c.waited}}
+			Expect(planner.Plan(in).Starts).To(HaveLen(c.tasks), "after %d ms", c.waited)
+		}
+	})
+
 	It("is what tasks that wait are told to wait for", func() {
 		s := newSite(2, 2)
 		in, _, _ := s.input()
