--- a/controller/explore_test.go
+++ b/controller/explore_test.go
@@ -50,7 +50,7 @@
 	return e
 }
 
-func (e *explorer) note(format string, args ...any) {
+func (e *explorer) notef(format string, args ...any) {
 	e.done = append(e.done, fmt.Sprintf(format, args...))
 }
 
@@ -78,33 +78,33 @@
 	switch kind := e.random.IntN(9); kind {
 	case 0:
 		x.Cut(e.random.IntN(2) == 0)
-		e.note("%s is cut off or heals", x.ID())
+		e.notef("%s is cut off or heals", x.ID())
 	case 1:
 		x.Silence(e.random.IntN(2) == 0)
-		e.note("%s is silent or answers", x.ID())
+		e.notef("%s is silent or answers", x.ID())
 	case 2:
 		x.Deafen(1 + e.random.IntN(3))
-		e.note("%s loses answers", x.ID())
+		e.notef("%s loses answers", x.ID())
 	case 3:
 		x.Close()
 		e.add(x.ID())
-		e.note("%s starts anew", x.ID())
+		e.notef("%s starts anew", x.ID())
 	case 4:
 		x.List([]string{"draining", "ready"}[e.random.IntN(2)])
-		e.note("%s drains or is ready", x.ID())
+		e.notef("%s drains or is ready", x.ID())
 	case 5:
 		e.store.Set(func(f *platformtest.Faults) { f.Lose += 1 + e.random.IntN(3) })
-		e.note("the store loses answers")
+		e.notef("the store loses answers")
 	case 6:
 		e.store.Set(func(f *platformtest.Faults) { f.Late, f.LateBy = 1+e.random.IntN(2), 400*time.Millisecond })
-		e.note("the store writes late")
+		e.notef("the store writes late")
 	case 7:
 		e.store.Set(func(f *platformtest.Faults) { f.Mute = !f.Mute })
-		e.note("the store's watches are mute or speak")
+		e.notef("the store's watches are mute or speak")
 	case 8:
 		e.leader.election.Resign(context.Background())
 		e.leader = e.join(nil)
-		e.note("another instance leads")
+		e.notef("another instance leads")
 	}
 }
 
