--- a/controller/leaving.go
+++ b/controller/leaving.go
@@ -2,8 +2,8 @@
 
 import "github.com/chestnutsail/chestnutsail/clock"
 
-// drainLinger is how much longer in milliseconds than they say workers serve on at the
-// least, as a rule, before they leave; the platform says "a little", at times many seconds.
+// drainLinger is the time in milliseconds for which a worker usually serves on after the
+// least time that its entry names; the platform promises no length.
 const drainLinger = 2 * clock.Second
 
 // empty stops the work on a worker that drains which can't end there in time. Work that
