planner, controller: one weight of resources for both

Found in the last read: the controller weighed what a stop throws away, and the planner what is in use, each with its own accelerator of 8 cores.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// accelCores is the number of cores that an accelerator counts as, as work that is
-	// thrown away is priced.
-	accelCores = 8
 	// lateFactor times its objective after its acceptance a job is worth nothing.
 	lateFactor = 3
 	// urgent is the priority that may take others' room.
@@ -318,6 +315,6 @@
 		// A stop saves the progress, and only the way back to it is paid for.
 		lost = min(lost, c.opts.Limits().Restore)
 	}
-	weight := float64(step.Cores)/1000 + accelCores*float64(step.Accels)
-	return weight * float64(lost) / float64(clock.Second)
+	shape := planner.Shape{Cores: step.Cores, Accels: step.Accels}
+	return float64(shape.Weight()) / 1000 * float64(lost) / float64(clock.Second)
 }
--- a/planner/stuck.go
+++ b/planner/stuck.go
@@ -13,7 +13,8 @@
 	Unit int
 	// Free tasks are kept back by no mark on a node: they wait for one rack or their data.
 	Free int
-	// Reserved nodes are kept for a gang that waits, Headroom for urgent units to come.
+	// Reserved nodes are kept for a gang that waits, the unit itself included, Headroom for
+	// urgent units to come.
 	Reserved int
 	Headroom int
 	// Avoided nodes have failed the unit's tasks before, Unsound ones were slow or failed
--- a/planner/use.go
+++ b/planner/use.go
@@ -15,12 +15,12 @@
 // accelCores is the number of cores that an accelerator counts as, as the platform prices work.
 const accelCores = 8
 
-// weight returns an amount of resources in thousandths of a core.
-func (s Shape) weight() int { return s.Cores + 1000*accelCores*s.Accels }
+// Weight returns an amount of resources in thousandths of a core.
+func (s Shape) Weight() int { return s.Cores + 1000*accelCores*s.Accels }
 
 // isRoomy reports whether a service is half empty, or would be by all of its resources
 // together: it may be short of one of them that a given task hardly needs.
-func (u use) isRoomy() bool { return u.halfEmpty() || 2*u.busy.weight() < u.all.weight() }
+func (u use) isRoomy() bool { return u.halfEmpty() || 2*u.busy.Weight() < u.all.Weight() }
 
 // countUse returns what is in use of each service.
 func countUse(nodes []Node) map[string]use {
