quick, claim: confirm a tombstone that was only read before notrun is said

Query and Submit told its outcome as it stood; the retry of a refused claim did too.

Change: Registry.Confirm writes a tombstone anew under its version, and notrun is told only for a tombstone that this call has written. Without the store's word the outcome is unknown.

Test: a stale tombstone after the key was claimed again and done, red before (notrun).

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -9,6 +9,7 @@
 //	taken ----> ended (Outcome done or failed)
 //	taken ----> unknown (Outcome unknown) ----> ended
 //	taken ----> tombstone (Outcome notrun) ----> taken again (Attempt+1)
+//	tombstone ----> tombstone (confirmed to be current)
 //
 // A tombstone overwrites the claim instead of deleting it, so a delayed write that is
 // based on an older version of the claim fails.
--- a/claim/lifecycle.go
+++ b/claim/lifecycle.go
@@ -28,6 +28,7 @@
 	eventEndUnknown = "lose"
 	eventEndNotRun  = "bury"
 	eventRetake     = "retake"
+	eventConfirm    = "confirm"
 )
 
 var transitions = fsm.Events{
@@ -36,6 +37,7 @@
 	{Name: eventEndUnknown, Src: []string{stateTaken}, Dst: stateUnknown},
 	{Name: eventEndNotRun, Src: []string{stateTaken}, Dst: stateTombstone},
 	{Name: eventRetake, Src: []string{stateTombstone}, Dst: stateTaken},
+	{Name: eventConfirm, Src: []string{stateTombstone}, Dst: stateTombstone},
 }
 
 // Move assigns the request to another worker as its next attempt. The caller must be
@@ -57,6 +59,15 @@
 	return r.write(ctx, c.withNextAttempt(to))
 }
 
+// Confirm writes a tombstone anew, which shows that it is still the current claim. A read
+// alone does not show that, as it may be stale. Confirm fails with an error of kind
+// kv.Conflict and returns the current claim if the request was claimed again since, with
+// Version 0 if the claim could not be read. It panics if the claim is not a tombstone.
+func (r *Registry) Confirm(ctx context.Context, c Claim) (Claim, error) {
+	c.mustAllow(eventConfirm)
+	return r.write(ctx, c)
+}
+
 // End records the outcome of a request. An outcome of kind notrun makes the claim a
 // tombstone. It panics if the state of the claim does not allow this outcome.
 func (r *Registry) End(ctx context.Context, c Claim, o outcome.Outcome) (Claim, error) {
--- a/quick/nonidempotent.go
+++ b/quick/nonidempotent.go
@@ -34,13 +34,14 @@
 	for {
 		target, place, reason := req.acquire(ctx)
 		if target == nil {
-			return req.refuseNoWorker(c, reason)
+			return req.refuseNoWorker(ctx, c, reason)
 		}
-		var err error
-		if c, err = req.takeClaim(ctx, c, place); err != nil {
+		taken, err := req.takeClaim(ctx, c, place)
+		if err != nil {
 			target.releaseUnused()
-			return req.claimErrorOutcome(err)
+			return req.claimErrorOutcome(c, err)
 		}
+		c = taken
 		req.claimRead = true
 		if c.Hash != req.hash {
 			target.releaseUnused()
@@ -54,7 +55,7 @@
 			c = req.waitForOutcome(ctx, c)
 		}
 		if !c.Tombstone() || !req.mayRetry(ctx, c) {
-			return claimOutcome(c)
+			return r.confirmedOutcome(ctx, c)
 		}
 	}
 }
@@ -192,25 +193,30 @@
 }
 
 // refuseNoWorker returns the outcome of a request for which no worker was available.
-func (req *nonIdempotentRequest) refuseNoWorker(c claim.Claim, reason outcome.Reason) outcome.Outcome {
+func (req *nonIdempotentRequest) refuseNoWorker(ctx context.Context, c claim.Claim, reason outcome.Reason) outcome.Outcome {
 	if c.Tombstone() {
-		return claimOutcome(c)
+		return req.router.confirmedOutcome(ctx, c)
 	}
 	return refuseBeforeClaim(req.spec, reason, retryAfter, "no worker could be asked in time")
 }
 
 // claimErrorOutcome returns the outcome of a request whose claim could not be made or read.
-func (req *nonIdempotentRequest) claimErrorOutcome(err error) outcome.Outcome {
+// The previous claim is the tombstone that was to be replaced, or the zero claim.
+func (req *nonIdempotentRequest) claimErrorOutcome(previous claim.Claim, err error) outcome.Outcome {
 	s := req.spec
 	if errors.Is(err, claim.ErrOtherKind) {
 		return outcome.Refuse(s.Key, outcome.KeyReused, 0, "the key was used for a job")
 	}
 	switch kv.KindOf(err) {
 	case kv.Refused:
-		if !req.claimRead {
+		switch {
+		case !req.claimRead:
 			return refuseBeforeClaim(s, outcome.StoreUnreachable, retryAfter, "the request could not be claimed")
+		case previous.Own:
+			return outcome.Refuse(s.Key, outcome.StoreUnreachable, retryAfter, "the request could not be claimed again")
+		default:
+			return unknownOutcome(s.Account, s.Key, "", outcome.StoreUnreachable, "the request was claimed before and could not be claimed again; ask by key")
 		}
-		return outcome.Refuse(s.Key, outcome.StoreUnreachable, retryAfter, "the request could not be claimed again")
 	case kv.Conflict:
 		return unknownOutcome(s.Account, s.Key, "", outcome.StoreUnreachable, "the key was claimed before and its claim can't be read")
 	default:
--- a/quick/nonidempotent_test.go
+++ b/quick/nonidempotent_test.go
@@ -73,6 +73,27 @@
 		Expect(cluster.runs()).To(Equal(map[string]int{"quick/perth/k": 1}))
 	})
 
+	It("is not told notrun from a stale tombstone after it was claimed again and done", func() {
+		s := nonIdempotentSpec("k", 0)
+		claimWithoutSending(s, process(0))
+		c, err := claims().Find(ctx, "perth", "k")
+		Expect(err).NotTo(HaveOccurred())
+		refused := outcome.Refuse("k", outcome.Abandoned, 0, "not sent")
+		_, err = claims().End(ctx, c, refused)
+		Expect(err).NotTo(HaveOccurred())
+		stale, err := consul.New(consul.Config{Address: cluster.server.URL}).Get(ctx, claim.Key("perth", "k"))
+		Expect(err).NotTo(HaveOccurred())
+		cluster.recordValue(stale)
+		Expect(entry(faults{}).router.Query(ctx, "perth", "k").Kind).To(Equal(outcome.NotRun), "while it has not run")
+		Expect(entry(faults{}).router.Submit(ctx, s).Kind).To(Equal(outcome.Done))
+
+		cluster.earlierValues = map[string][]kv.Entry{stale.Key: {stale}}
+		readsStale := entry(faults{storeStaleRead: 100})
+		Expect(readsStale.router.Query(ctx, "perth", "k").Kind).To(Equal(outcome.Unknown))
+		Expect(readsStale.router.Submit(ctx, s).Kind).NotTo(Equal(outcome.NotRun))
+		Expect(cluster.runs()).To(Equal(map[string]int{"quick/perth/k": 1}))
+	})
+
 	It("does not get the outcome notrun from a stale claim while a later attempt runs", func() {
 		claimWithoutSending(nonIdempotentSpec("k", 0), process(0))
 		first, err := consul.New(consul.Config{Address: cluster.server.URL}).Get(ctx, claim.Key("perth", "k"))
--- a/quick/resolve.go
+++ b/quick/resolve.go
@@ -54,7 +54,7 @@
 	c, err := r.opts.Claims.Find(ctx, account, key)
 	switch kv.KindOf(err) {
 	case kv.OK:
-		return claimOutcome(r.resolveClaim(ctx, c, resolveOptions{fenceAfter: fenceGrace}))
+		return r.confirmedOutcome(ctx, r.resolveClaim(ctx, c, resolveOptions{fenceAfter: fenceGrace}))
 	case kv.Missing:
 		return outcome.Outcome{
 			Kind: outcome.Unknown, Reason: outcome.UnknownKey, Account: account, Key: key,
@@ -73,6 +73,23 @@
 	return unknownOutcome(c.Account, c.Key, c.Worker, outcome.InProgress, "the request was claimed and its end is not known yet")
 }
 
+// confirmedOutcome returns the outcome recorded in a claim, or unknown if there is none
+// yet. A tombstone that this process only read may be stale: the request may have been
+// claimed again and run since. The outcome is notrun only if the store confirms that the
+// tombstone is current.
+func (r *Router) confirmedOutcome(ctx context.Context, c claim.Claim) outcome.Outcome {
+	if !c.Tombstone() || c.Own {
+		return claimOutcome(c)
+	}
+	ctx, cancel := cleanupContext(ctx)
+	defer cancel()
+	current, err := r.opts.Claims.Confirm(ctx, c)
+	if err == nil || current.Version != 0 && !current.Tombstone() {
+		return claimOutcome(current)
+	}
+	return unknownOutcome(c.Account, c.Key, c.Worker, outcome.ClaimUnclear, "the store did not confirm that the request has not run; ask by key")
+}
+
 // resolveClaim polls the worker that a claim names until the claim has an outcome or ctx
 // ends, and returns the claim in its latest known state. Unless options.waitForEnd is set,
 // it also returns when the worker reports that the attempt is running.
