dispatch: do not write a record of a newer term

The older of two schedulers lost the write of its placement to the newer one, read the record again, found no gang of an older term to stop, and then wrote "waiting" under its own term over the newer placement: the re-read version made the compare-and-swap succeed. It also released the newer gang's tasks on the workers, so the newer scheduler never heard of their end and the job stood.

Ruled out: the workers' fences, which refused every order of the older one.

Change: a session whose copy of a record has a newer term neither places, requeues nor ends the job, and leaves the tasks alone.

Test: the older scheduler frozen at each of 12 calls resumes while the newer one runs the job; red before at step 16 (the record's term was 1), 24 cases.

--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -127,6 +127,12 @@
 	if e.Record.Cancel {
 		return errCanceled
 	}
+	if s.isSuperseded(j) {
+		if err := s.refreshRecord(ctx, j); err != nil {
+			return err
+		}
+		return errOtherScheduler
+	}
 	e.Record.State, e.Record.Attempt = placed.State, placed.Attempt
 	e.Record.Term, e.Record.Members = placed.Term, placed.Members
 	e, err := s.opts.Ledger.Write(ctx, e)
@@ -141,6 +147,10 @@
 	return err
 }
 
+// isSuperseded reports whether a scheduler of a newer term has written the job's record.
+// This scheduler may then no longer write it, even if its own election has not told it yet.
+func (s *session) isSuperseded(j *liveJob) bool { return j.stored.Record.Term > s.term }
+
 // refreshRecord reads the record of a job after a version conflict. It returns
 // errJobEnded when the record is gone, errOtherScheduler when another scheduler has
 // changed the term or the attempt, errCanceled when the job is to be canceled, and nil for
@@ -213,7 +223,7 @@
 // scheduler was starting its own. If the record is not of an older term, it stops nothing
 // and returns Refused.
 func (s *session) stopForeignGang(j *liveJob) gang.Result {
-	if j.stored.Record.Term >= s.term {
+	if s.isSuperseded(j) || j.stored.Record.Term == s.term {
 		return gang.Result{Kind: scheduler.Refused, Committed: true}
 	}
 	r := s.newGang(j, j.stored.Record, true).Stop(s.ctx, 0)
@@ -347,14 +357,16 @@
 				r.Started = s.opts.Clock.Now()
 			}
 		})
-		s.releaseTasks(previous)
+		if !s.isSuperseded(j) {
+			s.releaseTasks(previous)
+		}
 	})
 }
 
 // writeRecord changes a job's record and retries until the write succeeds, the session
 // ends, the job has ended, or a scheduler of a newer term has written the record.
 func (s *session) writeRecord(j *liveJob, change func(*job.Record)) {
-	for retries := 0; s.ctx.Err() == nil; retries++ {
+	for retries := 0; s.ctx.Err() == nil && !s.isSuperseded(j); retries++ {
 		e := j.stored
 		change(&e.Record)
 		e, err := s.opts.Ledger.Write(s.ctx, e)
@@ -366,7 +378,7 @@
 			if err = s.refreshRecord(s.ctx, j); err == nil || errors.Is(err, errCanceled) {
 				continue
 			}
-			if errors.Is(err, errJobEnded) || (errors.Is(err, errOtherScheduler) && j.stored.Record.Term > s.term) {
+			if errors.Is(err, errJobEnded) {
 				return
 			}
 		}
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -88,6 +88,50 @@
 		})
 	})
 
+	// Guards against a scheduler that still believes it leads and overwrites the placement of
+	// the scheduler of a newer term: the older one freezes at each call of its start in turn and
+	// resumes while the newer one runs the job.
+	It("keeps its record under the newer term when a scheduler of an older term resumes at any call", func() {
+		const steps = 12
+		parallel(2*steps, func(i int) {
+			d := newDomain(2)
+			withTerm := func(name string, t int64) *entry {
+				return d.addEntry(name, func(o *dispatch.Options) { o.Election = fakeElection{name, t} })
+			}
+			older := withTerm("e1", 1)
+			spec := bothKinds("night", `{"sleep_ms":700,"echo":"ok"}`)[i%2]
+			older.network.delayAt.Store(older.network.calls.Load() + 2 + int64(i/2))
+			ctx, cancel := context.WithTimeout(bg(), 300*time.Millisecond)
+			defer cancel()
+			older.ledger.Submit(ctx, spec)
+			newer := withTerm("e2", 2)
+			Expect(newer.ledger.Submit(bg(), spec).Kind).NotTo(Equal(outcome.NotRun))
+			recordTerm := func() int64 {
+				e, err := newer.ledger.Find(bg(), "a", spec.ID())
+				if err != nil {
+					return 0
+				}
+				return e.Record.Term
+			}
+			var placed bool
+			for range 100 {
+				if placed = recordTerm() == 2; placed {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			close(older.network.resume)
+			for start := time.Now(); placed && time.Since(start) < 400*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+				if t := recordTerm(); t != 0 {
+					Expect(t).To(Equal(int64(2)), fmt.Sprint("step ", i))
+				}
+			}
+			checkOutcome(d, spec, newer.awaitEnd("night"), times.StartLease, fmt.Sprint("step ", i))
+			older.kill()
+			newer.kill()
+		})
+	})
+
 	// Guards against a paused scheduler whose delayed calls take effect after another instance
 	// has taken over.
 	It("runs whole or not at all when its scheduler freezes at any call until its lease has lapsed, then resumes", func() {
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -15,7 +15,7 @@
 func (s *session) finish(j *liveJob, state job.State, reason outcome.Reason) {
 	delete(s.jobs, j.id)
 	s.enqueueStep(j, func() {
-		for retries := 0; s.ctx.Err() == nil; retries++ {
+		for retries := 0; s.ctx.Err() == nil && !s.isSuperseded(j); retries++ {
 			e := j.stored
 			e.Record.State = state
 			if j.mayHaveRun && e.Record.Started == 0 {
@@ -28,10 +28,7 @@
 				return
 			}
 			if kv.KindOf(err) == kv.Conflict {
-				if err = s.refreshRecord(s.ctx, j); errors.Is(err, errOtherScheduler) {
-					if j.stored.Record.Term > s.term {
-						return
-					}
+				if err = s.refreshRecord(s.ctx, j); errors.Is(err, errOtherScheduler) && !s.isSuperseded(j) {
 					s.stopForeignGang(j)
 				}
 			}
