planner: use workers where tasks have failed when no others can hold the unit

The log's last lines name one unit that waits, "avoided" 16, then 24, then 32 of as many slots: tasks of its step had failed once on each of the four workers, and a unit was never placed where one of its tasks had failed. It would have waited for ever, on any small installation, with attempts left.

Ruled out: reservations, headroom, unsound workers (all 0 in those lines).

Change: a unit's avoided workers are ignored if the other workers could not hold it even if they were empty.

Tests: planner "nodes where tasks of a unit have failed", two of four red before.

--- a/planner/place.go
+++ b/planner/place.go
@@ -11,11 +11,17 @@
 // eligible reports whether the node with index n may run tasks of a unit, regardless of the free
 // resources there.
 func (p *plan) eligible(u *Unit, n int) bool {
-	node := &p.Nodes[n]
-	if !node.Usable || node.Service != u.Service || u.Avoid[n] || p.reserved[n] {
+	if u.Avoid[n] || p.reserved[n] || (p.urgentOnly[n] && !p.mayUseHeadroom(u)) {
 		return false
 	}
-	if p.urgentOnly[n] && !p.mayUseHeadroom(u) {
+	return p.suitable(u, n)
+}
+
+// suitable reports whether the node with index n may run tasks of a unit, regardless of what
+// other units need it for and of earlier failures of the unit's tasks there.
+func (p *plan) suitable(u *Unit, n int) bool {
+	node := &p.Nodes[n]
+	if !node.Usable || node.Service != u.Service {
 		return false
 	}
 	if (node.Suspect || node.Slow) && (u.LastAttempt || u.Gang) {
@@ -24,6 +30,26 @@
 	return node.hasLabel(u.Label)
 }
 
+// allowAvoided clears the avoided nodes of the units that would not fit on the other nodes even
+// if these were empty. Such a unit could otherwise never start.
+func (p *plan) allowAvoided() {
+	for i := range p.Units {
+		u := &p.Units[i]
+		if len(u.Avoid) == 0 {
+			continue
+		}
+		missing := p.requiredTasks(u)
+		for n := range p.Nodes {
+			if !u.Avoid[n] && p.suitable(u, n) {
+				missing -= p.slots(u, n, p.Nodes[n].Capacity)
+			}
+		}
+		if missing > 0 {
+			u.Avoid = nil
+		}
+	}
+}
+
 // hasLabel reports whether a node has a label. The empty label matches every node.
 func (n *Node) hasLabel(label string) bool { return label == "" || slices.Contains(n.Labels, label) }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -128,7 +128,8 @@
 	// number of tasks of the step that already have a run there, by node.
 	PerWorker   int
 	TasksOnNode map[int]int
-	// Avoid marks the nodes on which tasks of the unit have failed before.
+	// Avoid marks the nodes on which tasks of the unit have failed before. It is ignored if the
+	// unit would not fit on the other nodes.
 	Avoid map[int]bool
 	// LastAttempt units have a task whose next failure fails the whole job. They are not placed
 	// on suspect or slow nodes.
@@ -243,7 +244,7 @@
 
 func newPlan(in Input) *plan {
 	p := &plan{Input: in, byRack: make(map[string][]int), onNode: make([][]int, len(in.Nodes))}
-	p.Nodes = slices.Clone(in.Nodes)
+	p.Nodes, p.Units = slices.Clone(in.Nodes), slices.Clone(in.Units)
 	p.failedFree, p.failedSoon = make(failedPlacements), make(failedPlacements)
 	for i, n := range p.Nodes {
 		p.allNodes = append(p.allNodes, i)
@@ -263,6 +264,7 @@
 			p.onNode[n] = append(p.onNode[n], w)
 		}
 	}
+	p.allowAvoided()
 	return p
 }
 
