intake: give the end of a running job the time to be recorded

Cause: with queries logged, callers asked 0 to 10 ms after a job's last task had ended, were told "running", and came back 0.25 s later: an instance that does not lead hears of the end up to 0.2 s later, and the leader itself needs 15 ms for the record.

Ruled out: shorter intervals of the watches, which are calls of the store for every instance all the time.

Change: a query of a running job waits 40 ms, looks again, and reads the job's progress from the store if the local view still has no end. Without the store it is answered at once, as before.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -112,9 +112,12 @@
 	noticeLeasePeriod = 30 * clock.Second
 	// maxCountAge is the largest age of a count of waiting jobs that the callers' protocol allows.
 	maxCountAge = 2 * clock.Second
-	// refreshAfter is the time without changes in the local view after which the state of an
-	// unfinished job is read from the store.
+	// refreshAfter is the time without changes in the local view after which the state of a job
+	// that has not started is read from the store.
 	refreshAfter = 400 * clock.Millisecond
+	// recordingTime is the usual time from the end of a task until the store has its job's new
+	// state: the worker's answer to the leader, and the leader's write.
+	recordingTime = 40 * clock.Millisecond
 )
 
 // Options configures a Handler.
@@ -325,12 +328,29 @@
 	if answer != nil {
 		return *answer
 	}
-	if !view.State().Final() && h.opts.SinceChange() > refreshAfter && h.opts.Reachable() {
-		view = h.refresh(ctx, view)
+	if !view.State().Final() && h.opts.Reachable() {
+		view = h.latest(ctx, view)
 	}
 	return Answer{Verdict: OK, State: view.State()}
 }
 
+// latest returns the newest state of an unfinished job. Callers ask for a running job when they
+// expect its end, and the local view is behind the store. So latest gives the end of a running
+// job the time to be recorded, and reads the store unless the local view shows it by then.
+func (h *Handler) latest(ctx context.Context, view board.View) board.View {
+	if view.State() != workflow.Running {
+		if h.opts.SinceChange() > refreshAfter {
+			return h.refresh(ctx, view)
+		}
+		return view
+	}
+	clock.Sleep(ctx, recordingTime)
+	if current, ok := h.opts.Board.Find(view.ID); ok && current.State().Final() {
+		return current
+	}
+	return h.refresh(ctx, view)
+}
+
 // refresh reads the progress of a job from the store, because the local view may be outdated. If
 // the read fails, it returns the given view.
 func (h *Handler) refresh(ctx context.Context, view board.View) board.View {
