controller, estimate, speed: predict run times, learn speeds from gangs

Cause: what the planner believed was far off. (2) Speeds of workers drifted to 0.39 and 3.15 where 0.8 to 1.25 are true: the paces of remote runs and correlated samples of one run went into a moving average. (3) A new leader took the time since it first saw a run for its run time, so a gang of 13 s counted as cheap to evict (133 and 0 core-seconds in the log, 1402 in truth) and its pace as several times too fast.

Change: package estimate weighs declared and usual run time by their observed variances, per queue; the run time of a finished step stands in its progress, so the next leader knows it. Package speed averages comparisons with a prior: of the members of a gang (equal work, reported progress) and of the finished tasks of one step. Runs adopted from an earlier leader are timed by their progress. The log line of a placement says racks, slowest worker, declared and predicted time.

Tests: estimate and speed as tables; the next leader predicts from recorded run times.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -25,6 +25,7 @@
 	"github.com/chestnutsail/chestnutsail/board"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/counters"
+	"github.com/chestnutsail/chestnutsail/estimate"
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/mirror"
 	"github.com/chestnutsail/chestnutsail/peak"
@@ -144,6 +145,8 @@
 	// demandPeaks is, by service, the recent peak of the number of accelerators that urgent
 	// work used or waited for.
 	demandPeaks map[string]*peak.Peak
+	// runTimes predicts the run times of tasks, by queue.
+	runTimes *estimate.Estimator[string]
 	// readingNotices is set while notices are being read from the store.
 	readingNotices bool
 	// queuedOrders holds functions that each send one order; ordersInFlight is the number
@@ -259,6 +262,7 @@
 	c.dirty = make(map[*job]bool)
 	c.unreachable = nil
 	c.demandPeaks = make(map[string]*peak.Peak)
+	c.runTimes = estimate.New[string]()
 	c.loadJobs(term)
 	c.workersMirror = mirror.New(mirror.Options{
 		Store: c.opts.Store, Prefix: c.opts.Prefix, Clock: c.opts.Clock, Log: c.opts.Log,
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/chestnutsail/chestnutsail/agent"
 	"github.com/chestnutsail/chestnutsail/board"
@@ -142,6 +143,7 @@
 	runner     *controller.Controller
 	jobsMirror *mirror.Mirror
 	handler    *intake.Handler
+	logs       *logtest.Hook
 	// unreachable makes the instance assume that it can't reach the store.
 	unreachable atomic.Bool
 }
@@ -166,6 +168,7 @@
 			refusedWorkers: make(map[string]bool),
 		},
 		board: board.New(nil),
+		logs:  logtest.NewLocal(log),
 	}
 	if change != nil {
 		change(i.hooks)
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -49,9 +49,8 @@
 	lastFailedRun int
 	// readySince is when tasks of the part were first ready to start; 0 before.
 	readySince clock.Millis
-	// measuredDuration is the time in milliseconds that a finished task took on a worker that
-	// was not slow, converted to a worker of speed 1; 0 before.
-	measuredDuration float64
+	// measured holds the measured run times of finished tasks.
+	measured runTime
 }
 
 // task is one task of a part.
@@ -135,6 +134,8 @@
 			t.done = true
 		}
 		p.doneTasks = len(p.tasks)
+		p.measured.add(float64(recorded.RunTime))
+		c.runTimes.Observe(j.record.Queue, p.step.Estimate, recorded.RunTime)
 		return
 	}
 	for _, i := range recorded.Done {
@@ -195,6 +196,9 @@
 
 func (p *part) encode() (workflow.StepProgress, bool) {
 	out := workflow.StepProgress{Occurrence: p.occurrence, Step: p.index, AllDone: p.doneTasks == len(p.tasks)}
+	if out.AllDone {
+		out.RunTime = p.measured.mean()
+	}
 	for _, t := range p.tasks {
 		if t.run != nil && t.run.state != planned {
 			out.Places = append(out.Places, workflow.PlacedRun{Index: t.index, Run: t.run.number, Worker: t.run.node.id, WorkerStartedAt: t.run.workerStart})
@@ -243,7 +247,7 @@
 	j.state, j.endedAt = state, c.opts.Clock.Now()
 	c.opts.Log.WithFields(logrus.Fields{
 		"job": j.id, "state": string(state), "reason": reason, "term": c.term, "age_ms": int64(j.endedAt - j.record.AcceptedAt),
-		"objective_ms": int64(j.record.Objective()), "queue": j.record.Queue,
+		"objective_ms": int64(c.objective(j)), "queue": j.record.Queue,
 	}).Info("controller: job is over")
 	c.opts.Counters.Counter(`chestnutsail_jobs_total{state="` + string(state) + `"}`).Inc()
 	for _, row := range j.parts {
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/planner"
+	"github.com/chestnutsail/chestnutsail/speed"
 )
 
 const (
@@ -98,9 +99,8 @@
 	// the time until which the worker gets no new tasks.
 	suspectUntil clock.Millis
 	noWorkUntil  clock.Millis
-	// speed is the estimated speed of the worker, without phases in which it was far slower
-	// than others: 1 is the usual speed, 0 means unknown.
-	speed float64
+	// speed is the worker's usual speed, without phases in which it was far slower than others.
+	speed speed.Mean
 	// slowUntil is the time until which the worker counts as far slower than others.
 	slowUntil clock.Millis
 }
--- a/controller/pace.go
+++ b/controller/pace.go
@@ -20,8 +20,6 @@
 	// slowDuration is how long a worker counts as slow after it was last found to be slow,
 	// unless a later measurement is normal.
 	slowDuration = 4 * clock.Second
-	// speedWeight is the weight of a new sample in the moving average of a worker's speed.
-	speedWeight = 0.3
 	// stallTimeout is the time without progress after which a run counts as stalled.
 	stallTimeout = 2500 * clock.Millisecond
 	// restartCost is the time that stopping a run and starting it again takes. A stalled run
@@ -50,9 +48,9 @@
 func (r *run) updatePace(percent int, now clock.Millis) {
 	if r.pace.startedAt == 0 {
 		r.pace.startedAt = r.firstSeen
-		if r.resumed {
-			// The progress at which a resumed run starts is not known before the first
-			// report.
+		if r.resumed || r.adopted {
+			// The progress at which the run was resumed or adopted is not known before the
+			// first report.
 			r.pace.startPercent, r.pace.startedAt = percent, now
 		}
 	}
@@ -84,17 +82,18 @@
 	return r.pace.totalTime * float64(100-r.percent) / 100, true
 }
 
-// assessPace updates the speeds of the workers by comparing the runs of a part with each other,
-// and restarts stalled runs.
+// assessPace finds slow workers by comparing the runs of a part with each other, and restarts
+// stalled runs.
 func (c *Controller) assessPace(p *part, now clock.Millis) {
 	if p.step.UntilCancelled || p.doneTasks == len(p.tasks) || p.job.state.Final() {
 		return
 	}
 	taskDuration, known := p.taskDuration()
 	if known {
-		for _, t := range p.tasks {
-			if t.run != nil && t.run.pace.totalTime > 0 {
-				t.run.node.updateSpeed(t.run.pace.totalTime/taskDuration, now)
+		for _, r := range p.runs() {
+			// The members of a gang are remote together, and can still be compared.
+			if r.pace.totalTime > 0 && (p.step.Gang || !p.runsRemotely(r)) {
+				r.node.updateSlowness(r.pace.totalTime/taskDuration, now)
 			}
 		}
 	}
@@ -127,38 +126,27 @@
 	workers := make(map[*node]bool)
 	for _, t := range p.tasks {
 		if r := t.run; r != nil && r.pace.totalTime > 0 {
-			samples = append(samples, r.pace.totalTime*r.node.knownSpeed())
+			samples = append(samples, r.pace.totalTime*r.node.speed.Value())
 			workers[r.node] = true
 		}
 	}
-	if p.measuredDuration > 0 {
-		samples = append(samples, p.measuredDuration)
+	if p.measured.last > 0 {
+		samples = append(samples, p.measured.last)
 	}
-	if len(workers) < 2 && p.measuredDuration == 0 {
+	if len(workers) < 2 && p.measured.last == 0 {
 		return 0, false
 	}
 	slices.Sort(samples)
 	return samples[(len(samples)-1)/2], true
 }
 
-// knownSpeed returns the estimated speed of a worker, or 1 if it is not known.
-func (n *node) knownSpeed() float64 {
-	if n.speed == 0 {
-		return 1
-	}
-	return n.speed
-}
-
-// updateSpeed updates the speed of a worker after a measurement. ratio is a task's duration on the
-// worker divided by its duration on a worker of speed 1. A ratio above slowRatio marks the worker
-// as slow and leaves its speed unchanged.
-func (n *node) updateSpeed(ratio float64, now clock.Millis) {
+// updateSlowness marks a worker as slow or not after a measurement. ratio is a task's duration on
+// the worker divided by its duration on a worker of speed 1.
+func (n *node) updateSlowness(ratio float64, now clock.Millis) {
+	n.slowUntil = 0
 	if ratio > slowRatio {
 		n.slowUntil = now + slowDuration
-		return
 	}
-	n.slowUntil = 0
-	n.speed = (1-speedWeight)*n.knownSpeed() + speedWeight/ratio
 }
 
 // isSlow reports whether a worker was found to be slow within the last slowDuration and has had no
@@ -191,7 +179,7 @@
 		return
 	}
 	if taskDuration == 0 {
-		taskDuration = float64(p.step.Estimate)
+		taskDuration = float64(c.predictRunTime(p))
 	}
 	restartTime := taskDuration
 	if p.step.Checkpointing {
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -77,6 +78,8 @@
 		}
 	}
 	var workerIDs []string
+	racks := make(map[string]bool)
+	slowest := math.Inf(1)
 	for i, nodeIndex := range s.Nodes {
 		t := waiting[i]
 		if !p.step.Gang {
@@ -86,11 +89,15 @@
 		n := snap.nodes[nodeIndex]
 		c.assignRun(t, n, number, planned)
 		workerIDs = append(workerIDs, n.id)
+		racks[n.worker.Rack] = true
+		slowest = min(slowest, n.speed.Value())
 	}
 	u := snap.input.Units[s.Unit]
 	c.opts.Log.WithFields(logrus.Fields{
 		"job": p.job.id, "occurrence": p.occurrence, "step": p.index, "tasks": len(s.Nodes), "of": u.Count, "run": number,
-		"workers": workerIDs, "waited_ms": int64(u.Waited), "priority": u.Priority, "guaranteed": u.Guaranteed, "hopeless": u.Hopeless, "term": c.term,
+		"workers": workerIDs, "waited_ms": int64(u.Waited), "priority": u.Priority, "guaranteed": u.Guaranteed, "late": u.Late, "hopeless": u.Hopeless, "term": c.term,
+		"racks": len(racks), "gang": u.Gang, "same_rack": u.SameRack, "data_rack": u.DataRack, "slowest": math.Round(100*slowest) / 100,
+		"declared_ms": int64(p.step.Estimate), "predicted_ms": int64(u.Estimate), "accels": u.Shape.Accels,
 	}).Info("controller: tasks are placed")
 	c.markChanged(p.job)
 }
@@ -157,7 +164,7 @@
 
 func (c *Controller) plannerNode(n *node, now clock.Millis) planner.Node {
 	p := planner.Node{
-		ID: n.id, Service: n.worker.Service, Rack: n.worker.Rack, Labels: n.worker.Labels, Capacity: n.shape(), Slow: n.isSlow(now), Speed: n.knownSpeed(),
+		ID: n.id, Service: n.worker.Service, Rack: n.worker.Rack, Labels: n.worker.Labels, Capacity: n.shape(), Slow: n.isSlow(now), Speed: n.speed.Value(),
 		Usable:  n.listed && n.pollAnswered && n.worker.State == agent.Ready && now >= n.noWorkUntil && len(n.unknownRuns) == 0 && !n.failing,
 		Suspect: now < n.suspectUntil,
 	}
@@ -240,12 +247,13 @@
 	j := p.job
 	r := j.record
 	begin := max(r.AcceptedAt, r.Spec.EarliestStart(p.occurrence))
+	objective := c.objective(j)
 	u := planner.Unit{
 		Service: r.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: r.Priority, Guaranteed: guaranteed,
 		Shape: p.shape(), Count: len(waiting), Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker,
-		Rank: begin + r.Objective(), Waited: now - p.readySince, Estimate: p.step.Estimate,
-		Late:     !p.step.UntilCancelled && now+r.Spec.LongestChainFrom(p.index) > begin+r.Objective(),
-		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*r.Objective(),
+		Rank: begin + objective, Waited: now - p.readySince, Estimate: c.predictRunTime(p),
+		Late:     !p.step.UntilCancelled && now+c.longestChainFrom(p) > begin+objective,
+		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
 		MaxLoss:  maxEvictionLoss(p, guaranteed),
 	}
 	u.TasksOnNode = make(map[int]int)
@@ -316,10 +324,7 @@
 // by their weight in cores.
 func (c *Controller) lostWork(r *run, now clock.Millis) float64 {
 	step := r.task.part.step
-	lostTime := now - r.stateSince
-	if r.firstSeen > 0 {
-		lostTime = now - r.firstSeen
-	}
+	lostTime := c.timeRun(r, now)
 	if step.Checkpointing {
 		// The progress is saved when the run is stopped, so only the time to restore it is
 		// lost.
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -81,6 +81,7 @@
 func (c *Controller) reported(r *run, reported agent.Run, now clock.Millis) {
 	switch r.state {
 	case ordered, unconfirmed, inherited:
+		r.adopted = r.state == inherited
 		c.markPresent(r, now)
 		if r.task.part.job.state.Final() {
 			c.stopRun(r, "its job is over")
@@ -166,8 +167,8 @@
 		}
 	}
 	p := t.part
-	if current && r.firstSeen > 0 && !r.resumed && !n.isSlow(c.opts.Clock.Now()) {
-		p.measuredDuration = float64(c.opts.Clock.Now()-r.firstSeen) * n.knownSpeed()
+	if current {
+		p.measure(r, c.opts.Clock.Now())
 	}
 	if p.step.UntilCancelled {
 		if current {
@@ -187,6 +188,9 @@
 			mark(x)
 		}
 	}
+	if p.doneTasks == len(p.tasks) {
+		c.runTimes.Observe(p.job.record.Queue, p.step.Estimate, p.measured.mean())
+	}
 	if r != nil && (current || r.state == planned || r.state == recording) {
 		c.removeRun(r, agent.Done, "")
 	}
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -52,8 +52,10 @@
 	// lastSeen is when the worker last reported the run as present.
 	lastSeen clock.Millis
 	pace     pace
-	// resumed reports whether the run started from a checkpoint.
+	// resumed reports whether the run started from a checkpoint. adopted reports whether an
+	// earlier leader started it, so that its run time before firstSeen is not known.
 	resumed bool
+	adopted bool
 	// orderUnanswered reports whether an order was sent without an answer, so that the
 	// worker may still carry it out.
 	orderUnanswered bool
--- /dev/null
+++ b/controller/runtimes.go
@@ -0,0 +1,143 @@
+package controller
+
+import (
+	"math"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/speed"
+	"github.com/chestnutsail/chestnutsail/workflow"
+)
+
+// minSpeedPeers is the number of other finished tasks of a part that a task has to be compared with.
+const minSpeedPeers = 2
+
+// runTime holds the measured run times of the finished tasks of a part, in milliseconds and
+// converted to a worker of speed 1. last is that of the task that finished last, 0 before.
+type runTime struct {
+	last  float64
+	total float64
+	tasks int
+}
+
+// add adds the run time of a task. It ignores a time of 0.
+func (t *runTime) add(duration float64) {
+	if duration <= 0 {
+		return
+	}
+	t.last = duration
+	t.total += duration
+	t.tasks++
+}
+
+// mean returns the mean run time, or 0 if nothing was measured.
+func (t *runTime) mean() clock.Millis {
+	if t.tasks == 0 {
+		return 0
+	}
+	return clock.Millis(t.total / float64(t.tasks))
+}
+
+// measure records the run time of a successful run. It skips runs whose time says little about
+// the task: those that continued earlier work, ran on a slow worker or ran away from their data
+// or from the rest of their gang.
+func (p *part) measure(r *run, now clock.Millis) {
+	if r.firstSeen == 0 || r.resumed || r.adopted || r.node.isSlow(now) || p.runsRemotely(r) {
+		return
+	}
+	duration := float64(now - r.firstSeen)
+	if p.step.Gang {
+		p.compareMembers()
+		p.measured.add(duration * p.slowestSpeed())
+		return
+	}
+	if p.measured.tasks >= minSpeedPeers && duration > 0 {
+		r.node.speed.Add(float64(p.measured.mean()), duration, speed.TaskWeight)
+	}
+	p.measured.add(duration * r.node.speed.Value())
+}
+
+// compareMembers learns the speeds of the workers of a gang that has ended from the progress of
+// its members. The gang must still have its runs.
+func (p *part) compareMembers() {
+	median, known := p.taskDuration()
+	if !known {
+		return
+	}
+	var compared []*run
+	logSum := 0.0
+	for _, r := range p.runs() {
+		if r.pace.totalTime > 0 && r.pace.totalTime < slowRatio*median {
+			compared = append(compared, r)
+			logSum += math.Log(r.pace.totalTime * r.node.speed.Value())
+		}
+	}
+	if len(compared) < 2 {
+		return
+	}
+	reference := math.Exp(logSum / float64(len(compared)))
+	for _, r := range compared {
+		r.node.speed.Add(reference, r.pace.totalTime, speed.MemberWeight)
+	}
+}
+
+// slowestSpeed returns the speed of the slowest worker that a part runs on. A gang takes as long as
+// its slowest member.
+func (p *part) slowestSpeed() float64 {
+	slowest := math.Inf(1)
+	for _, r := range p.runs() {
+		slowest = min(slowest, r.node.speed.Value())
+	}
+	return slowest
+}
+
+// runsRemotely reports whether a run is not in the rack of its data, or its gang should be in one
+// rack and is not.
+func (p *part) runsRemotely(r *run) bool {
+	if p.step.DataRack != "" && r.node.worker.Rack != p.step.DataRack {
+		return true
+	}
+	if !p.step.SameRack {
+		return false
+	}
+	for _, other := range p.runs() {
+		if other.node.worker.Rack != r.node.worker.Rack {
+			return true
+		}
+	}
+	return false
+}
+
+// predictRunTime returns the predicted run time in milliseconds of a task of a part. Declared
+// times may be off by a factor of ten, so it is learned from the queue's finished jobs how much
+// they tell.
+func (c *Controller) predictRunTime(p *part) clock.Millis { return c.predictStep(p.job)(p.step) }
+
+// predictStep returns a function that predicts the run time of a task of a step of a job.
+func (c *Controller) predictStep(j *job) func(*workflow.Step) clock.Millis {
+	return func(s *workflow.Step) clock.Millis { return c.runTimes.Predict(j.record.Queue, s.Estimate) }
+}
+
+// objective returns the latency objective of a job in milliseconds, based on predicted run times.
+func (c *Controller) objective(j *job) clock.Millis { return j.record.Objective(c.predictStep(j)) }
+
+// longestChainFrom returns the predicted run time in milliseconds of the longest chain of dependent
+// steps that begins with a part.
+func (c *Controller) longestChainFrom(p *part) clock.Millis {
+	return p.job.record.Spec.LongestChains(c.predictStep(p.job))[p.index]
+}
+
+// timeRun estimates for how long a run has been running, in milliseconds. For a run that an
+// earlier leader started, it is derived from the progress.
+func (c *Controller) timeRun(r *run, now clock.Millis) clock.Millis {
+	switch {
+	case r.firstSeen == 0:
+		return now - r.stateSince
+	case r.adopted:
+		duration := r.pace.totalTime
+		if duration == 0 {
+			duration = float64(c.predictRunTime(r.task.part))
+		}
+		return max(now-r.firstSeen, clock.Millis(duration*float64(r.percent)/100))
+	}
+	return now - r.firstSeen
+}
--- a/workflow/progress.go
+++ b/workflow/progress.go
@@ -55,6 +55,9 @@
 	Done    []int          `cbor:"d,omitempty"`
 	Tasks   []TaskProgress `cbor:"t,omitempty"`
 	Places  []PlacedRun    `cbor:"p,omitempty"`
+	// RunTime is the mean time in milliseconds that the tasks ran on a worker of usual speed; 0
+	// if AllDone is not set or it was not measured.
+	RunTime clock.Millis `cbor:"r,omitempty"`
 }
 
 // Progress is the recorded progress of a job. Only the leader writes it.
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -6,7 +6,7 @@
 //
 //	if err := spec.Check(); err != nil { ... } // *workflow.Error
 //	record := workflow.Record{ID: id, Queue: q.Name, Spec: spec}
-//	objective := record.Objective()
+//	objective := record.Objective(workflow.Declared)
 package workflow
 
 import (
@@ -133,22 +133,23 @@
 	return s.First + clock.Millis(occurrence)*s.Interval
 }
 
-// LongestChain returns the estimated run time in milliseconds of the longest chain of dependent
-// steps.
-func (s *Spec) LongestChain() clock.Millis { return slices.Max(append(s.longestChains(), 0)) }
+// Declared returns the run time in milliseconds that the caller declared for a task of a step.
+func Declared(s *Step) clock.Millis { return s.Estimate }
 
-// LongestChainFrom returns the estimated run time in milliseconds of the longest chain of dependent
-// steps that begins with the given step.
-func (s *Spec) LongestChainFrom(step int) clock.Millis { return s.longestChains()[step] }
+// LongestChain returns the run time in milliseconds of the longest chain of dependent steps.
+// estimate returns the run time of a task of a step, such as Declared.
+func (s *Spec) LongestChain(estimate func(*Step) clock.Millis) clock.Millis {
+	return slices.Max(append(s.LongestChains(estimate), 0))
+}
 
-// longestChains returns, for each step, the estimated run time of the longest chain that begins
-// with it.
-func (s *Spec) longestChains() []clock.Millis {
+// LongestChains returns, for each step, the run time in milliseconds of the longest chain of
+// dependent steps that begins with it. estimate returns the run time of a task of a step.
+func (s *Spec) LongestChains(estimate func(*Step) clock.Millis) []clock.Millis {
 	longestChains := make([]clock.Millis, len(s.Steps))
 	for i := len(s.Steps) - 1; i >= 0; i-- {
 		// All steps that depend on step i have a higher index, so longestChains[i] already holds
 		// the longest of their chains.
-		longestChains[i] += s.Steps[i].Estimate
+		longestChains[i] += estimate(&s.Steps[i])
 		for _, before := range s.Steps[i].After {
 			longestChains[before] = max(longestChains[before], longestChains[i])
 		}
@@ -186,7 +187,7 @@
 }
 
 // Objective returns the latency objective of the job: the time in milliseconds within which the
-// job should be done.
-func (r *Record) Objective() clock.Millis {
-	return clock.Millis(r.ObjectiveFactor*float64(r.Spec.LongestChain())) + r.Target
+// job should be done. estimate returns the run time of a task of a step, such as Declared.
+func (r *Record) Objective(estimate func(*Step) clock.Millis) clock.Millis {
+	return clock.Millis(r.ObjectiveFactor*float64(r.Spec.LongestChain(estimate))) + r.Target
 }
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -39,11 +39,11 @@
 			{Count: 1, Estimate: 250, After: []int{0}},
 		}}}
 		Expect(r.Spec.Check()).To(Succeed())
-		Expect(r.Spec.LongestChain()).To(Equal(400 * clock.Millisecond))
-		Expect(r.Spec.LongestChainFrom(0)).To(Equal(350 * clock.Millisecond))
-		Expect(r.Spec.LongestChainFrom(2)).To(Equal(250 * clock.Millisecond))
-		Expect((&workflow.Spec{}).LongestChain()).To(BeZero())
-		Expect(r.Objective()).To(Equal(850 * clock.Millisecond))
+		Expect(r.Spec.LongestChain(workflow.Declared)).To(Equal(400 * clock.Millisecond))
+		Expect(r.Spec.LongestChains(workflow.Declared)[0]).To(Equal(350 * clock.Millisecond))
+		Expect(r.Spec.LongestChains(workflow.Declared)[2]).To(Equal(250 * clock.Millisecond))
+		Expect((&workflow.Spec{}).LongestChain(workflow.Declared)).To(BeZero())
+		Expect(r.Objective(workflow.Declared)).To(Equal(850 * clock.Millisecond))
 	})
 
 	It("starts its occurrences at fixed intervals from its first time if it is periodic", func() {
