relay, roster: hand calls on while this instance alone has lost the store

Where the store turns some machines away or an instance is cut off it, the others could have taken them at once.

Ruled out: no Retry-After, or 0.

Change: instances register in the store and know each other from the mirror (roster); a call that can't be carried out here, or whose write got no answer, or that would be answered by an old view, goes to up to three others (relay).

Tests: relay as a table of what peers do, and "never told as not run if a peer has carried it out"; roster; fleet "an instance that alone has lost the store", red before with 503, and with 404 until refusals by an old configuration were handed on too.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/justinas/alice"
@@ -33,6 +34,8 @@
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/mirror"
 	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/relay"
+	"github.com/chestnutsail/chestnutsail/roster"
 	"github.com/chestnutsail/chestnutsail/site"
 )
 
@@ -45,6 +48,8 @@
 	// call.
 	leaderWatchInterval   = 15 * clock.Millisecond
 	followerWatchInterval = 200 * clock.Millisecond
+	// instancesPrefix is the prefix of the keys under which the instances register.
+	instancesPrefix = board.Prefix + "i/"
 	// leaderCores (processor cores) and leaderLinkSpeed (megabits per second) are what a leader of several
 	// hundred workers needs. maxCandidacyDelay is the longest time in milliseconds for which an instance
 	// with less waits in an election, so that stronger instances can win it.
@@ -81,15 +86,22 @@
 
 // Instance is one instance and the services that run in its process.
 type Instance struct {
-	opts          Options
-	clock         *clock.Clock
-	counters      *counters.Counters
-	kernel        *kernel.Kernel
-	config        atomic.Pointer[site.Config]
+	opts     Options
+	clock    *clock.Clock
+	counters *counters.Counters
+	kernel   *kernel.Kernel
+	config   atomic.Pointer[site.Config]
+	// storedConfig is the same configuration as the store holds it. configLock is held while a
+	// configuration is put into force. newestVersion is the highest version by which another
+	// instance has answered a call of this one.
+	storedConfig  atomic.Pointer[storedConfig]
+	configLock    sync.Mutex
+	newestVersion atomic.Int64
 	bounds        atomic.Pointer[platform.Bounds]
 	board         *board.Board
 	configMirror  *mirror.Mirror
 	jobMirror     *mirror.Mirror
+	roster        *roster.Roster
 	election      *election.Election
 	storeHealth   *health.Monitor
 	intakeHandler *intake.Handler
@@ -136,7 +148,13 @@
 // startServers starts the HTTP servers for callers, for the load balancer's health check and for metrics.
 func (i *Instance) startServers() error {
 	s := i.opts.Settings
-	callers := platform.NewJobHandler(platform.JobHandlerOptions{Jobs: i.intakeHandler, OnAnswer: i.recordAnswer, Clock: i.clock, Log: i.opts.Log})
+	callerOptions := platform.JobHandlerOptions{Jobs: i.intakeHandler, OnAnswer: i.recordAnswer, Clock: i.clock, Log: i.opts.Log}
+	peers := relay.NewHandler(relay.HandlerOptions{Calls: platform.NewJobHandler(callerOptions), Config: i.latestConfig})
+	callerOptions.Relay = relay.New(relay.Options{
+		Peers: i.roster.Peers, Version: i.configVersion, Adopt: i.adoptConfig,
+		Client: platform.NewPeerClient(), Clock: i.clock, Log: i.opts.Log,
+	})
+	callers := platform.NewJobHandler(callerOptions)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, i.serveReadiness)
 	metrics := http.NewServeMux()
@@ -147,6 +165,11 @@
 	if err := i.listenAndServe(s.ReadyAddress, ready); err != nil {
 		return err
 	}
+	if address := i.peerAddress(); address != "" {
+		if err := i.listenAndServe(address, peers); err != nil {
+			return err
+		}
+	}
 	if i.opts.Metrics == 0 {
 		return nil
 	}
@@ -186,19 +209,25 @@
 		Limits: i.limits,
 		Clock:  i.clock, Counters: i.counters, Log: log,
 	})
+	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Address: i.peerAddress(), Clock: i.clock, Log: log})
 	i.jobMirror = mirror.New(mirror.Options{
 		Store: store, Prefix: board.Prefix, PageTimeout: pageTimeout(s), Clock: i.clock, Log: log, MinInterval: i.watchInterval,
-		Replace: func(entries []kv.Entry) { i.election.Observe(!i.board.Replace(entries)) },
+		Replace: func(entries []kv.Entry) {
+			i.roster.Replace(entries)
+			i.election.Observe(!i.board.Replace(entries))
+		},
 		Apply: func(changes []kv.Change) {
+			i.roster.Apply(changes)
 			if seen, led := i.board.Apply(changes); seen {
 				i.election.Observe(!led)
 			}
 		},
 	})
 	i.intakeHandler = intake.New(intake.Options{
-		Name: s.Name, Store: store, Board: i.board, Config: i.config.Load, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
+		Name: s.Name, Store: store, Board: i.board, Config: i.usableConfig, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
 		OnRetry: i.counters.Counter(controller.RetriesMetric("acceptance")).Inc, Clock: i.clock, Log: log,
 	})
+	i.kernel.Add("roster", i.roster)
 	i.kernel.Add("controller", jobController)
 	i.kernel.Add("jobs", i.jobMirror)
 	i.kernel.Add("desk", i.intakeHandler)
@@ -254,6 +283,8 @@
 
 // applyConfig puts the configuration among the entries into force if it is newer than the current one.
 func (i *Instance) applyConfig(entries []kv.Entry) {
+	i.configLock.Lock()
+	defer i.configLock.Unlock()
 	for _, e := range entries {
 		if e.Key != platform.ConfigKey {
 			continue
@@ -265,6 +296,7 @@
 		}
 		if current := i.config.Load(); next.Version > current.Version {
 			i.config.Store(&next)
+			i.storedConfig.Store(&storedConfig{next.Version, e.Value})
 			i.opts.Log.WithFields(logrus.Fields{
 				"version": next.Version, "before": current.Version, "queues": len(next.Queues), "accounts": len(next.Accounts),
 			}).Info("config: new configuration in force")
--- /dev/null
+++ b/fleet/peers_test.go
@@ -0,0 +1,123 @@
+package fleet_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/fleet"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platform/platformtest"
+)
+
+// link passes TCP connections on to a target until it is cut.
+type link struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+	isCut    bool
+}
+
+func newLink(target string) *link {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	l := &link{listener: listener}
+	DeferCleanup(l.cut)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			l.pass(conn, target)
+		}
+	}()
+	return l
+}
+
+func (l *link) pass(conn net.Conn, target string) {
+	out, err := net.Dial("tcp", target)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil || l.isCut {
+		_ = conn.Close()
+		return
+	}
+	l.conns = append(l.conns, conn, out)
+	go func() { _, _ = io.Copy(out, conn) }()
+	go func() { _, _ = io.Copy(conn, out) }()
+}
+
+func (l *link) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isCut = true
+	_ = l.listener.Close()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+// Guards against callers that are refused, or answered by an old configuration, by an instance that
+// alone has lost the store.
+var _ = Describe("an instance that alone has lost the store", func() {
+	const id = "5c0e7a21d94b36f8"
+	ctx := context.Background()
+	caller := platformtest.NewCaller(2 * time.Second)
+	start := func(name, store string) platform.Settings {
+		_, port, err := net.SplitHostPort(freeAddress())
+		Expect(err).NotTo(HaveOccurred())
+		peerPort, err := strconv.Atoi(port)
+		Expect(err).NotTo(HaveOccurred())
+		s := platform.Settings{
+			Name: name, IP: "127.0.0.1", Domain: "a", CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store, Cores: 1, LinkSpeed: 1000,
+			Ports:  [2]int{peerPort, 0},
+			Bounds: platform.Bounds{MaxLease: 5 * clock.Second, StopTime: 100 * clock.Millisecond, TerminationGrace: 3 * clock.Second, HeartbeatInterval: clock.Second},
+		}
+		log := logrus.New()
+		log.SetOutput(GinkgoWriter)
+		instance := fleet.New(fleet.Options{Settings: s, Log: log.WithField("instance", name)})
+		Expect(instance.Start(ctx)).To(Succeed())
+		DeferCleanup(func() { _ = instance.Stop(ctx) })
+		return s
+	}
+
+	It("accepts and tells through another one, and never goes back to an older configuration", func() {
+		store := platformtest.NewStore()
+		DeferCleanup(store.Close)
+		DeferCleanup(platformtest.NewWorker(platformtest.WorkerOptions{Store: store, ID: "i-1"}).Close)
+		storeLink := newLink(store.Address())
+		connected, cutOff := start("e1", store.Address()), start("e2", storeLink.listener.Addr().String())
+		store.Put(platform.ConfigKey, platformtest.Config(1, platformtest.Queue{Name: "q", Attempts: 1}))
+		status := func(s platform.Settings, queue string) func() int {
+			return func() int {
+				_, status := caller.State(ctx, s.CallerAddress, queue, id)
+				return status
+			}
+		}
+		Eventually(status(connected, "q"), 3*time.Second).Should(Equal(410))
+		Eventually(status(cutOff, "q"), 3*time.Second).Should(Equal(410))
+		// The mirrors have to know both instances.
+		time.Sleep(500 * time.Millisecond)
+
+		storeLink.cut()
+		store.Put(platform.ConfigKey, platformtest.Config(2, platformtest.Queue{Name: "new", Attempts: 1}))
+		Eventually(status(connected, "new"), 3*time.Second).Should(Equal(410))
+		Eventually(func() int {
+			return caller.Submit(ctx, cutOff.CallerAddress, "new", id, platformtest.Job{Spec: "ms=50", Count: 2})
+		}, 4*time.Second).Should(Equal(200))
+		Eventually(func() string {
+			state, _ := caller.State(ctx, cutOff.CallerAddress, "new", id)
+			return state
+		}, 3*time.Second).Should(Equal("completed"))
+		Expect(status(cutOff, "q")()).To(Equal(404), "the queue is gone in the newer configuration")
+	})
+})
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -95,6 +95,9 @@
 	// means that no retry is suggested.
 	RetryAfter clock.Millis
 	Reason     string
+	// Outdated is set if another instance may know a newer state or configuration, because this
+	// one can't reach the store.
+	Outdated bool
 }
 
 const (
@@ -214,14 +217,14 @@
 	}
 	queue, ok := cfg.Match(c.Host, c.Path)
 	if !ok {
-		return Grant{}, &Answer{Verdict: NoQueue, Reason: "no queue at this address"}
+		return Grant{}, &Answer{Verdict: NoQueue, Reason: "no queue at this address", Outdated: !h.opts.Reachable()}
 	}
 	if !queue.Public && h.opts.KeysOutdated() {
 		return Grant{}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "the configuration is too old to accept keys by"}
 	}
 	account, ok := cfg.ByKey(c.Key)
 	if !ok && !queue.Public {
-		return Grant{}, &Answer{Verdict: NoKey, Reason: "unknown key"}
+		return Grant{}, &Answer{Verdict: NoKey, Reason: "unknown key", Outdated: !h.opts.Reachable()}
 	}
 	g := Grant{Queue: queue, Account: account, ID: c.Path[len(queue.Prefix):], Body: cfg.Limits.Body, Version: cfg.Version}
 	if g.Body <= 0 {
@@ -328,10 +331,11 @@
 	if answer != nil {
 		return *answer
 	}
-	if !view.State().Final() && h.opts.Reachable() {
+	reachable := h.opts.Reachable()
+	if !view.State().Final() && reachable {
 		view = h.latest(ctx, view)
 	}
-	return Answer{Verdict: OK, State: view.State()}
+	return Answer{Verdict: OK, State: view.State(), Outdated: !reachable && !view.State().Final()}
 }
 
 // latest returns the newest state of an unfinished job. Callers ask for a running job when they
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,210 @@
+// Package relay hands the calls of callers that this instance can't carry out to other instances.
+// An instance that has lost the store can't accept jobs, but another one often can: the store may
+// turn away some instances only, or a part of the network may have failed.
+//
+// Calls are handed on together with the version of the configuration that the instance knows, and
+// answered with the version of the one that carried them out. So an instance never answers by an
+// older configuration than its caller has seen, and learns of a new one while the store is away.
+//
+// A call is handed on at most maxTries times. An instance that does not answer or can't carry out
+// calls either is skipped for a while, so that a call is refused at once while no instance can
+// carry it out.
+//
+// # Usage
+//
+//	http.Serve(listener, relay.NewHandler(relay.HandlerOptions{Calls: callers, Config: config}))
+//	r := relay.New(relay.Options{Peers: roster.Peers, Client: client, Version: version, Adopt: adopt, Log: log})
+//	answer := r.Send(ctx, relay.Call{Method: "POST", Path: "/wipe/5c0e7a21d94b36f8", Host: "h", Header: header, Body: body})
+//	switch answer.Outcome {
+//	case relay.Answered: // pass answer.Status, answer.RetryAfter and answer.Body on
+//	case relay.NotRun:   // no instance has carried it out
+//	case relay.Unsure:   // an instance may have carried it out
+//	}
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+)
+
+const (
+	// maxTries is the largest number of instances that are asked for one call.
+	maxTries = 3
+	// tryTimeout is the timeout of one of them. A slow store takes a quarter of a second for a
+	// write; connections that have gone silent must not hold the caller up for long.
+	tryTimeout = 400 * clock.Millisecond
+	// silentRest and busyRest are how long an instance is not asked after it gave no answer and
+	// after it could not carry out a call.
+	silentRest = 2 * clock.Second
+	busyRest   = 300 * clock.Millisecond
+	// maxBody is the largest answer in bytes that is passed on.
+	maxBody = 64 << 10
+)
+
+// Outcome says what became of a call.
+type Outcome string
+
+// The outcomes of a call.
+const (
+	// Answered means that an instance has carried the call out and answered it.
+	Answered Outcome = "answered"
+	// NotRun means that no instance has carried the call out or will do so.
+	NotRun Outcome = "notrun"
+	// Unsure means that an instance may have carried the call out.
+	Unsure Outcome = "unsure"
+)
+
+// Call is a call of a caller. Handing the same call on twice must have the same effect as once.
+type Call struct {
+	Method string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is the outcome of a call. The other fields are set if it was answered.
+type Answer struct {
+	Outcome    Outcome
+	Peer       string
+	Status     int
+	RetryAfter string
+	Body       []byte
+}
+
+// Options configures a Relay. All but Clock are required.
+type Options struct {
+	// Peers returns the addresses of the other instances.
+	Peers func() []string
+	// Version returns the version of the configuration that this instance knows.
+	Version func() int64
+	// Adopt is called with the newer configuration of an instance that has carried out a call,
+	// or with nil if it could not be read, and with its version.
+	Adopt func(version int64, raw []byte)
+	// Client makes the calls. Its time to open a connection should be short, since a caller
+	// waits meanwhile.
+	Client *http.Client
+	Clock  *clock.Clock
+	Log    *logrus.Entry
+}
+
+// Relay hands calls on. It is safe for concurrent use.
+type Relay struct {
+	opts Options
+
+	mu sync.Mutex
+	// restUntil holds, by address, until when an instance is not asked.
+	restUntil map[string]clock.Millis
+}
+
+// New returns a relay.
+func New(opts Options) *Relay {
+	if opts.Clock == nil {
+		opts.Clock = clock.New()
+	}
+	return &Relay{opts: opts, restUntil: make(map[string]clock.Millis)}
+}
+
+// Send hands a call to other instances, one after the other, until one has carried it out.
+func (r *Relay) Send(ctx context.Context, c Call) Answer {
+	outcome := NotRun
+	for range maxTries {
+		peer, ok := r.choose()
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		answer := r.try(ctx, peer, c)
+		if answer.Outcome == Answered {
+			return answer
+		}
+		if answer.Outcome == Unsure {
+			// The call may still be carried out, whatever the next instance answers. Its
+			// answer is valid all the same, as the call has its effect once.
+			outcome = Unsure
+		}
+	}
+	return Answer{Outcome: outcome}
+}
+
+// choose returns a random instance that is not resting, and false if there is none. It forgets
+// instances that are gone.
+func (r *Relay) choose() (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.opts.Clock.Now()
+	var awake []string
+	known := make(map[string]clock.Millis)
+	for _, peer := range r.opts.Peers() {
+		known[peer] = r.restUntil[peer]
+		if now >= r.restUntil[peer] {
+			awake = append(awake, peer)
+		}
+	}
+	r.restUntil = known
+	if len(awake) == 0 {
+		return "", false
+	}
+	return awake[rand.IntN(len(awake))], true
+}
+
+func (r *Relay) rest(peer string, duration clock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restUntil[peer] = r.opts.Clock.Now() + duration
+}
+
+// try hands a call to one instance.
+func (r *Relay) try(ctx context.Context, peer string, c Call) Answer {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout.Duration())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+peer+callsPath+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		r.opts.Log.WithError(err).WithField("path", c.Path).Error("relay: the call can't be handed on")
+		return Answer{Outcome: NotRun}
+	}
+	req.Host = c.Host
+	req.Header = c.Header.Clone()
+	req.Header.Set(versionHeader, strconv.FormatInt(r.opts.Version(), 10))
+	resp, err := r.opts.Client.Do(req)
+	if err != nil {
+		return r.failed(peer, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return r.failed(peer, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		r.rest(peer, busyRest)
+		return Answer{Outcome: NotRun}
+	case http.StatusGatewayTimeout:
+		r.rest(peer, busyRest)
+		return Answer{Outcome: Unsure}
+	}
+	r.adoptNewer(ctx, peer, resp.Header)
+	return Answer{Outcome: Answered, Peer: peer, Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Body: body}
+}
+
+// failed handles a call that got no whole answer. Only a connection that could not be opened shows
+// that the call was not delivered.
+func (r *Relay) failed(peer string, err error) Answer {
+	r.rest(peer, silentRest)
+	r.opts.Log.WithError(err).WithField("peer", peer).Info("relay: instance did not answer")
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return Answer{Outcome: NotRun}
+	}
+	return Answer{Outcome: Unsure}
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,185 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/relay"
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+func TestRelay(t *testing.T) { suite.Run(t, "relay") }
+
+// behaviour is what a peer does with a call.
+type behaviour string
+
+const (
+	carriesOut   behaviour = "carries it out"
+	refuses      behaviour = "refuses it"
+	isUnsure     behaviour = "is unsure"
+	losesAnswer  behaviour = "carries it out and loses the answer"
+	staysSilent  behaviour = "does not answer"
+	isGone       behaviour = "is gone"
+	knowsOlder   behaviour = "knows an older configuration"
+	refusesNoKey behaviour = "answers 401"
+)
+
+// peer is another instance. ran counts the calls that it carried out, asked all calls.
+type peer struct {
+	address    string
+	ran, asked atomic.Int64
+}
+
+const ownVersion, newVersion = 5, 7
+
+func newPeer(b behaviour) *peer {
+	p := &peer{}
+	if b == isGone {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		p.address = listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		return p
+	}
+	version := int64(newVersion)
+	if b == knowsOlder {
+		version = ownVersion - 1
+	}
+	released := make(chan struct{})
+	calls := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.asked.Add(1)
+		switch b {
+		case refuses:
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+		case isUnsure:
+			http.Error(w, "unsure", http.StatusGatewayTimeout)
+		case refusesNoKey:
+			http.Error(w, "unknown key", http.StatusUnauthorized)
+		case staysSilent:
+			<-released
+		case losesAnswer:
+			p.ran.Add(1)
+			panic(http.ErrAbortHandler)
+		default:
+			p.ran.Add(1)
+			_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.Host, r.URL.Path)
+		}
+	})
+	server := httptest.NewServer(relay.NewHandler(relay.HandlerOptions{
+		Calls: calls, Config: func() (int64, []byte) { return version, []byte("configuration") },
+	}))
+	DeferCleanup(func() {
+		close(released)
+		server.Close()
+	})
+	p.address = server.Listener.Addr().String()
+	return p
+}
+
+// handOn is a relay with the peers that it may ask and the configurations that it adopted.
+type handOn struct {
+	*relay.Relay
+	peers   []*peer
+	adopted []string
+}
+
+func newRelay(behaviours ...behaviour) *handOn {
+	h := &handOn{}
+	for _, b := range behaviours {
+		h.peers = append(h.peers, newPeer(b))
+	}
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	h.Relay = relay.New(relay.Options{
+		Peers: func() []string {
+			var list []string
+			for _, p := range h.peers {
+				list = append(list, p.address)
+			}
+			return list
+		},
+		Version: func() int64 { return ownVersion },
+		Adopt:   func(version int64, raw []byte) { h.adopted = append(h.adopted, fmt.Sprintf("%d %s", version, raw)) },
+		Client:  &http.Client{}, Log: logrus.NewEntry(log),
+	})
+	return h
+}
+
+func (h *handOn) send() relay.Answer {
+	return h.Send(context.Background(), relay.Call{Method: "POST", Path: "/q/1", Host: "h.example", Header: http.Header{"Api-Key": {"k"}}, Body: []byte("{}")})
+}
+
+func (h *handOn) asked() (n int64) {
+	for _, p := range h.peers {
+		n += p.asked.Load()
+	}
+	return n
+}
+
+var _ = Describe("a call that an instance can't carry out", func() {
+	DescribeTable("is handed on to peers of which",
+		func(want relay.Outcome, status int, behaviours ...behaviour) {
+			answer := newRelay(behaviours...).send()
+			Expect(answer.Outcome).To(Equal(want))
+			Expect(answer.Status).To(Equal(status))
+		},
+		Entry("there is none", relay.NotRun, 0),
+		Entry("one carries it out", relay.Answered, 200, carriesOut),
+		Entry("one answers that the key is unknown", relay.Answered, 401, refusesNoKey),
+		Entry("two refuse it and one carries it out", relay.Answered, 200, refuses, carriesOut, refuses),
+		Entry("two are gone and one carries it out", relay.Answered, 200, isGone, carriesOut, isGone),
+		Entry("all refuse it or are gone", relay.NotRun, 0, refuses, isGone, refuses),
+		Entry("one is unsure and the others refuse it", relay.Unsure, 0, isUnsure, refuses, refuses),
+		Entry("one is unsure and another carries it out", relay.Answered, 200, isUnsure, carriesOut),
+		Entry("one loses the answer", relay.Unsure, 0, losesAnswer),
+		Entry("one does not answer", relay.Unsure, 0, staysSilent),
+		Entry("one knows an older configuration", relay.NotRun, 0, knowsOlder),
+	)
+
+	It("keeps its method, host and path, and brings the newer configuration", func() {
+		h := newRelay(carriesOut)
+		Expect(string(h.send().Body)).To(Equal("POST h.example /q/1"))
+		Expect(h.adopted).To(Equal([]string{"7 configuration"}))
+	})
+
+	It("is refused at once while no peer can carry it out", func() {
+		h := newRelay(refuses, refuses, isGone)
+		h.send()
+		asked := h.asked()
+		start := time.Now()
+		Expect(h.send().Outcome).To(Equal(relay.NotRun))
+		Expect(h.asked()).To(Equal(asked), "the peers rest")
+		Expect(time.Since(start)).To(BeNumerically("<", 50*time.Millisecond))
+		Eventually(func() int64 { h.send(); return h.asked() }).Should(BeNumerically(">", asked), "they are asked again")
+	})
+
+	// Guards against a refusal that says "not run" though a peer has carried the call out.
+	It("is never told as not run if a peer has carried it out", func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		all := []behaviour{carriesOut, refuses, isUnsure, losesAnswer, isGone, knowsOlder, refusesNoKey}
+		for range 60 {
+			var behaviours []behaviour
+			for range 1 + random.IntN(4) {
+				behaviours = append(behaviours, all[random.IntN(len(all))])
+			}
+			h := newRelay(behaviours...)
+			answer := h.send()
+			for _, p := range h.peers {
+				if p.ran.Load() > 0 {
+					Expect(answer.Outcome).NotTo(Equal(relay.NotRun), "%v", behaviours)
+				}
+			}
+		}
+	})
+})
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,78 @@
+package roster_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/kv"
+	"github.com/chestnutsail/chestnutsail/mirror"
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platform/platformtest"
+	"github.com/chestnutsail/chestnutsail/roster"
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+func TestRoster(t *testing.T) { suite.Run(t, "roster") }
+
+const prefix = "cs/i/"
+
+// member is an instance with a mirror of the store.
+type member struct {
+	*roster.Roster
+	mirror *mirror.Mirror
+}
+
+func join(store *platformtest.Store, name, address string) *member {
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	entry := log.WithField("instance", name)
+	client := platform.NewStore(platform.StoreOptions{Address: store.Address()})
+	m := &member{Roster: roster.New(roster.Options{Store: client, Prefix: prefix, Name: name, Address: address, Clock: clock.New(), Log: entry})}
+	m.mirror = mirror.New(mirror.Options{Store: client, Prefix: "cs/", Replace: m.Replace, Apply: m.Apply, Clock: clock.New(), Log: entry})
+	DeferCleanup(func(ctx context.Context) {
+		_ = m.Stop(ctx)
+		_ = m.mirror.Stop(ctx)
+	})
+	return m
+}
+
+var _ = Describe("the roster", func() {
+	var store *platformtest.Store
+	BeforeEach(func() {
+		store = platformtest.NewStore()
+		DeferCleanup(store.Close)
+	})
+
+	It("lets instances find each other, and forgets those that leave", func() {
+		a, b := join(store, "a", "10.0.0.1:7000"), join(store, "b", "10.0.0.2:7000")
+		observer := join(store, "c", "")
+		Eventually(a.Peers, 3*time.Second).Should(Equal([]string{"10.0.0.2:7000"}))
+		Eventually(b.Peers, 3*time.Second).Should(Equal([]string{"10.0.0.1:7000"}))
+		Eventually(observer.Peers, 3*time.Second).Should(HaveLen(2))
+		Expect(b.Stop(context.Background())).To(Succeed())
+		Eventually(a.Peers, 3*time.Second).Should(BeEmpty())
+	})
+
+	It("lists an instance that was started again once", func() {
+		a := join(store, "a", "10.0.0.1:7000")
+		join(store, "b", "10.0.0.2:7000")
+		join(store, "b", "10.0.0.2:7000")
+		Eventually(a.Peers, 3*time.Second).Should(HaveLen(1))
+		Consistently(a.Peers, 200*time.Millisecond).Should(HaveLen(1))
+	})
+
+	It("ignores other keys", func() {
+		r := roster.New(roster.Options{Prefix: prefix, Clock: clock.New()})
+		r.Replace([]kv.Entry{{Key: "cs/lead", Value: []byte("x")}, {Key: prefix + "b/1", Value: []byte("10.0.0.2:7000")}})
+		r.Apply([]kv.Change{{Entry: kv.Entry{Key: "cs/j/1/a", Value: []byte("y")}}})
+		Expect(r.Peers()).To(Equal([]string{"10.0.0.2:7000"}))
+		r.Apply([]kv.Change{{Entry: kv.Entry{Key: prefix + "b/1"}, Deleted: true}})
+		Expect(r.Peers()).To(BeEmpty())
+	})
+})
