controller: renew leases six times in their length, send orders again after 250 ms

Cause: cuts of a failure domain last 5 to 6.3 s and leases 6 s, and a poll waited up to 2 s, so what was left of a lease at the start of a cut was 4 to 6 s and nearly every run there ended. An order that a worker left without an answer was sent again after 1.15 s; a whole gang waits for it.

--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -19,7 +19,7 @@
 	pollWait = 2 * clock.Second
 	// pollsPerLease is the minimum number of polls, each of which renews the lease, in the
 	// duration of one lease.
-	pollsPerLease = 3
+	pollsPerLease = 6
 	// pollTimeout is the timeout of a poll beyond the delay that the poll allows.
 	pollTimeout = 1200 * clock.Millisecond
 	// heartbeatsBeforeExpiry is the number of heartbeat intervals after a worker's last answer
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -64,7 +64,7 @@
 }
 
 const (
-	orderTimeout = 1000 * clock.Millisecond
+	orderTimeout = 250 * clock.Millisecond
 	// unhealthyDelay is how long a worker gets no new tasks after it answered an order with
 	// the verdict agent.Unhealthy.
 	unhealthyDelay = clock.Second
