--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -154,6 +154,9 @@
 		Peers: i.roster.Peers, Version: i.configVersion, Adopt: i.adoptConfig,
 		Client: platform.NewPeerClient(), Clock: i.clock, Log: i.opts.Log,
 	})
+	callerOptions.OnRelay = func(outcome string) {
+		i.counters.Counter(`chestnutsail_relayed_total{outcome="` + outcome + `"}`).Inc()
+	}
 	callers := platform.NewJobHandler(callerOptions)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, i.serveReadiness)
