--- a/controller/plan.go
+++ b/controller/plan.go
@@ -316,12 +316,12 @@
 		work.Nodes = append(work.Nodes, snap.nodeIndex[r.node])
 		work.Loss += c.lostWork(r, now)
 	}
-	work.Work, work.Slack = float64(len(runs))*c.totalWork(p), c.evictionSlack(p, runs, now)
 	snap.input.Running = append(snap.input.Running, work)
 	snap.runningWorkRuns = append(snap.runningWorkRuns, runs)
 }
 
-// lostWork returns how much work, in core-seconds, is lost if a run is stopped.
+// lostWork returns how much work, in core-seconds, is lost if a run is stopped. Accelerators count
+// by their weight in cores.
 func (c *Controller) lostWork(r *run, now clock.Millis) float64 {
 	step := r.task.part.step
 	lostTime := c.timeRun(r, now)
@@ -330,5 +330,6 @@
 		// lost.
 		lostTime = min(lostTime, c.opts.Limits().Restore)
 	}
-	return coreSeconds(step, lostTime)
+	shape := planner.Shape{Cores: step.Cores, Accels: step.Accels}
+	return float64(shape.Weight()) / 1000 * float64(lostTime) / float64(clock.Second)
 }
--- a/controller/runtimes.go
+++ b/controller/runtimes.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"github.com/chestnutsail/chestnutsail/clock"
-	"github.com/chestnutsail/chestnutsail/planner"
 	"github.com/chestnutsail/chestnutsail/speed"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
@@ -127,39 +126,6 @@
 	return p.job.record.Spec.LongestChains(c.predictStep(p.job))[p.index]
 }
 
-// evictionSlack returns for how long runs of a part may wait for a new place before their job becomes
-// late, in milliseconds. It is negative if the job is late in any case.
-func (c *Controller) evictionSlack(p *part, runs []*run, now clock.Millis) clock.Millis {
-	r := p.job.record
-	deadline := max(r.AcceptedAt, r.Spec.EarliestStart(p.occurrence)) + c.objective(p.job)
-	elapsed := clock.Millis(0)
-	for _, x := range runs {
-		elapsed = max(elapsed, c.timeRun(x, now))
-	}
-	runTime := c.predictRunTime(p)
-	laterSteps := c.longestChainFrom(p) - runTime
-	remaining := max(runTime-elapsed, 0)
-	if now+remaining+laterSteps > deadline {
-		return -1
-	}
-	if !p.step.Checkpointing {
-		remaining = runTime
-	}
-	return max(deadline-now-remaining-laterSteps, 0)
-}
-
-// totalWork returns the work of one task of a part, in core-seconds.
-func (c *Controller) totalWork(p *part) float64 {
-	return coreSeconds(p.step, c.predictRunTime(p))
-}
-
-// coreSeconds returns the work of a task in a time, in core-seconds. Accelerators count by their
-// weight in cores.
-func coreSeconds(s *workflow.Step, time clock.Millis) float64 {
-	shape := planner.Shape{Cores: s.Cores, Accels: s.Accels}
-	return float64(shape.Weight()) / 1000 * float64(time) / float64(clock.Second)
-}
-
 // timeRun estimates for how long a run has been running, in milliseconds. For a run that an
 // earlier leader started, it is derived from the progress.
 func (c *Controller) timeRun(r *run, now clock.Millis) clock.Millis {
--- a/planner/evict.go
+++ b/planner/evict.go
@@ -4,26 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
-
-	"github.com/chestnutsail/chestnutsail/clock"
-)
-
-const (
-	// requeueTime is how long evicted work is expected to wait for a new place.
-	requeueTime = 4 * clock.Second
-	// lateLossFraction is the fraction of its work that a job is worth less when it is late.
-	lateLossFraction = 0.7
 )
 
-// evictionLoss returns the loss in core-seconds if the work is evicted. It counts the work that is
-// lost, and a part of all its work if its job becomes late by waiting for a new place.
-func (w *RunningWork) evictionLoss() float64 {
-	if w.Slack >= 0 && w.Slack < requeueTime {
-		return w.Loss + lateLossFraction*w.Work
-	}
-	return w.Loss
-}
-
 // evict adds running work to the plan's evictions so that the unit fits once that work has
 // stopped, and claims the resources for the unit. Of all node sets that the unit can use, it
 // takes the one with the least loss. It returns false and changes nothing if it finds no
@@ -173,7 +155,7 @@
 	for _, w := range c.plan.evictable(c.unit, n, c.selected) {
 		work := &c.plan.Running[w]
 		eviction.victims = append(eviction.victims, w)
-		loss += work.evictionLoss()
+		loss += work.Loss
 		for _, member := range work.Nodes {
 			if member == n {
 				free = free.Add(work.Shape)
@@ -199,7 +181,7 @@
 		work := &c.plan.Running[w]
 		c.selected[w] = true
 		c.chosen = append(c.chosen, w)
-		c.loss += work.evictionLoss()
+		c.loss += work.Loss
 		for _, n := range work.Nodes {
 			c.addFree(n, work.Shape)
 		}
@@ -240,6 +222,6 @@
 	if len(list) < 2 {
 		return list
 	}
-	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(p.Running[a].evictionLoss(), p.Running[b].evictionLoss()) })
+	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(p.Running[a].Loss, p.Running[b].Loss) })
 	return list
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -155,13 +155,8 @@
 	Shape      Shape
 	// Nodes has one entry for each task: the index of its node in Input.Nodes.
 	Nodes []int
-	// Loss is the work in core-seconds that is lost if the task or gang is stopped, and Work all of
-	// its work.
+	// Loss is the work in core-seconds that is lost if the task or gang is stopped.
 	Loss float64
-	Work float64
-	// Slack is the time in milliseconds for which the work may wait for a new place before its job
-	// becomes late. It is negative if the job is late in any case.
-	Slack clock.Millis
 	// Pinned work is never evicted.
 	Pinned bool
 }
