--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -24,8 +24,8 @@
 }
 
 func (w workload) draw(random *rand.Rand) (declared, observed clock.Millis) {
-	real := float64(w.median) * math.Exp(w.spread*random.NormFloat64())
-	return clock.Millis(real * w.bias * math.Exp(w.wrong*random.NormFloat64())), clock.Millis(real)
+	runTime := float64(w.median) * math.Exp(w.spread*random.NormFloat64())
+	return clock.Millis(runTime * w.bias * math.Exp(w.wrong*random.NormFloat64())), clock.Millis(runTime)
 }
 
 var _ = Describe("an estimator", func() {
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -13,10 +13,11 @@
 import "math"
 
 const (
-	// MemberWeight is the weight of a comparison of two members of a gang: they have equal work
-	// and report their progress. TaskWeight is that of two tasks of a step, which differ.
+	// MemberWeight is the weight of a comparison of the members of a gang: they have equal work
+	// and report their progress.
 	MemberWeight = 4.0
-	TaskWeight   = 1.0
+	// TaskWeight is the weight of a comparison of the tasks of a step, which differ.
+	TaskWeight = 1.0
 	// prior is the weight of speed 1, with which a worker starts.
 	prior = 1.0
 	// maxRatio limits a sample. Usual workers differ by less; a larger ratio comes from a phase
