relay: do not let a peer refuse a call that may have been carried out

An instance wrote a job while the store lost answers and was slow, got no answer, and handed the call on; the peer knew that the key had been revoked meanwhile and said 401, which was passed on to the caller. The write took effect later, and the job ran though all tries of its caller had been refused.

Ruled out: the acceptance itself (its verdict was "unsure"), the revocation.

Change: a call that is open here, or that an earlier peer may have carried out, is answered only by a peer that carries it out; otherwise the caller is told that it is unsure.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,6 +72,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Open is set if the call may have been carried out already, without an answer. Only an
+	// instance that carries it out can then tell what became of it.
+	Open bool
 }
 
 // Answer is the outcome of a call. The other fields are set if it was answered.
@@ -83,6 +86,8 @@
 	Body       []byte
 }
 
+func (a *Answer) succeeded() bool { return a.Status >= 200 && a.Status < 300 }
+
 // Options configures a Relay. All but Clock are required.
 type Options struct {
 	// Peers returns the addresses of the other instances.
@@ -118,23 +123,25 @@
 
 // Send hands a call to other instances, one after the other, until one has carried it out.
 func (r *Relay) Send(ctx context.Context, c Call) Answer {
-	outcome := NotRun
+	open := c.Open
 	for range maxTries {
 		peer, ok := r.choose()
 		if !ok || ctx.Err() != nil {
 			break
 		}
 		answer := r.try(ctx, peer, c)
-		if answer.Outcome == Answered {
+		if answer.Outcome == Answered && (!open || answer.succeeded()) {
 			return answer
 		}
-		if answer.Outcome == Unsure {
-			// The call may still be carried out, whatever the next instance answers. Its
-			// answer is valid all the same, as the call has its effect once.
-			outcome = Unsure
-		}
+		// Once the call may have been carried out, a refusal by another instance, which may know
+		// another configuration, is not the last word. A success is, as the call has its effect
+		// once.
+		open = open || answer.Outcome == Unsure
 	}
-	return Answer{Outcome: outcome}
+	if open {
+		return Answer{Outcome: Unsure}
+	}
+	return Answer{Outcome: NotRun}
 }
 
 // choose returns a random instance that is not resting, and false if there is none. It forgets
@@ -174,7 +181,9 @@
 		return Answer{Outcome: NotRun}
 	}
 	req.Host = c.Host
-	req.Header = c.Header.Clone()
+	if c.Header != nil {
+		req.Header = c.Header.Clone()
+	}
 	req.Header.Set(versionHeader, strconv.FormatInt(r.opts.Version(), 10))
 	resp, err := r.opts.Client.Do(req)
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -153,6 +153,13 @@
 		Expect(h.adopted).To(Equal([]string{"7 configuration"}))
 	})
 
+	It("is not refused by a peer if it may have been carried out before", func() {
+		c := relay.Call{Method: "POST", Path: "/q/1", Host: "h.example", Open: true}
+		Expect(newRelay(refusesNoKey).Send(context.Background(), c).Outcome).To(Equal(relay.Unsure))
+		Expect(newRelay(refuses, isGone).Send(context.Background(), c).Outcome).To(Equal(relay.Unsure))
+		Expect(newRelay(refusesNoKey, carriesOut).Send(context.Background(), c).Status).To(Equal(http.StatusOK))
+	})
+
 	It("is refused at once while no peer can carry it out", func() {
 		h := newRelay(refuses, refuses, isGone)
 		h.send()
@@ -164,8 +171,9 @@
 		Eventually(func() int64 { h.send(); return h.asked() }).Should(BeNumerically(">", asked), "they are asked again")
 	})
 
-	// Guards against a refusal that says "not run" though a peer has carried the call out.
-	It("is never told as not run if a peer has carried it out", func() {
+	// Guards against a refusal of a call that a peer has carried out without an answer, whether it
+	// says "not run" or comes from a peer that would not have carried the call out.
+	It("is never refused if a peer has carried it out", func() {
 		random := rand.New(rand.NewPCG(1, 1))
 		all := []behaviour{carriesOut, refuses, isUnsure, losesAnswer, isGone, knowsOlder, refusesNoKey}
 		for range 60 {
@@ -176,8 +184,8 @@
 			h := newRelay(behaviours...)
 			answer := h.send()
 			for _, p := range h.peers {
-				if p.ran.Load() > 0 {
-					Expect(answer.Outcome).NotTo(Equal(relay.NotRun), "%v", behaviours)
+				if p.ran.Load() > 0 && answer.Outcome != relay.Unsure {
+					Expect(answer.Status).To(Equal(http.StatusOK), "%v", behaviours)
 				}
 			}
 		}
