controller: tell long tasks from stalled ones, and stalled ones sooner

Cause: a run without progress for 2.5 s counted as stalled, and progress is reported in whole percents: a task of more than four minutes shows none for that long and was stopped and started anew after 2.6 s, twice. None of the sites has such tasks; most of the work expected within two years has.

Change: the time without progress is 1.5 s at least, one and a half polls, and that in which the predicted run time passes three percent.

--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// pollWait is how long a worker may delay the answer to a poll until a run ends; the
+	// maxPollWait is how long a worker may delay the answer to a poll until a run ends; the
 	// workers' protocol allows at most 2 s.
-	pollWait = 2 * clock.Second
+	maxPollWait = 2 * clock.Second
 	// pollsPerLease is the minimum number of polls, each of which renews the lease, in the
 	// duration of one lease.
 	pollsPerLease = 6
@@ -266,7 +266,7 @@
 	}
 	request := agent.Renewal{Fence: c.term, Acked: n.ackedEnd, Lease: c.nextLease(n)}
 	if n.pollAnswered && len(n.unackedEnds) == 0 && !n.needsImmediateAnswer() && !probe {
-		request.Wait = min(pollWait, c.opts.Limits().Lease/pollsPerLease)
+		request.Wait = c.pollWait()
 		if n.hasNewRun(now) {
 			request.Wait = min(request.Wait, newRunPollWait)
 		}
@@ -292,10 +292,15 @@
 	}()
 }
 
+// pollWait returns the time in milliseconds for which a worker may delay the answer to a poll.
+func (c *Controller) pollWait() clock.Millis {
+	return min(maxPollWait, c.opts.Limits().Lease/pollsPerLease)
+}
+
 // hasNewRun reports whether the worker has a recently started run whose pace is not known yet.
 func (n *node) hasNewRun(now clock.Millis) bool {
 	for r := range n.runs {
-		if r.state == ordered || (r.state == present && r.pace.totalTime == 0 && now-r.firstSeen < stallTimeout) {
+		if r.state == ordered || (r.state == present && r.pace.totalTime == 0 && now-r.firstSeen < newRunWindow) {
 			return true
 		}
 	}
--- a/controller/pace.go
+++ b/controller/pace.go
@@ -20,8 +20,14 @@
 	// slowDuration is how long a worker counts as slow after it was last found to be slow,
 	// unless a later measurement is normal.
 	slowDuration = 4 * clock.Second
-	// stallTimeout is the time without progress after which a run counts as stalled.
-	stallTimeout = 2500 * clock.Millisecond
+	// minStallTime is the shortest time without progress after which a run counts as stalled. A
+	// worker is polled at least stallPolls times in that time, and the run should have progressed
+	// by stallPercents, since progress is reported in whole percents.
+	minStallTime  = 1500 * clock.Millisecond
+	stallPolls    = 1.5
+	stallPercents = 3
+	// newRunWindow is how long a run without a measured pace counts as new.
+	newRunWindow = 2500 * clock.Millisecond
 	// restartCost is the time that stopping a run and starting it again takes. A stalled run
 	// is restarted only if its remaining time is at least minRestartGain times the run time
 	// after a restart, plus restartCost.
@@ -61,9 +67,15 @@
 	r.pace.totalTime = float64(now-r.pace.startedAt) * 100 / float64(done)
 }
 
-// stalled reports whether a run made no progress for stallTimeout up to the worker's last report.
+// stallTime returns the time in milliseconds without progress after which a run counts as stalled.
+func (c *Controller) stallTime(r *run) clock.Millis {
+	perPercent := float64(c.predictRunTime(r.task.part)) / 100
+	return max(minStallTime, clock.Millis(stallPolls*float64(c.pollWait())), clock.Millis(stallPercents*perPercent))
+}
+
+// stalled reports whether a run made no progress for its stallTime up to the worker's last report.
 func (r *run) stalled() bool {
-	return r.state == present && r.percent < 100 && r.lastSeen-r.lastProgress > stallTimeout
+	return r.state == present && r.percent < 100 && r.lastSeen-r.lastProgress > r.stallTime
 }
 
 // remaining returns the estimated time in milliseconds until a run ends, and whether it is known.
@@ -160,7 +172,7 @@
 	longest, highestPercent := 0.0, 0
 	var slowest *run
 	for _, r := range runs {
-		if now-r.firstSeen < stallTimeout && r.percent == 0 {
+		if now-r.firstSeen < r.stallTime && r.percent == 0 {
 			// The members of a gang make no progress until all of them are present.
 			return
 		}
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -90,7 +90,7 @@
 	if reported.Percent != r.percent {
 		r.percent, r.lastProgress = reported.Percent, now
 	}
-	r.lastSeen = now
+	r.lastSeen, r.stallTime = now, c.stallTime(r)
 	r.updatePace(reported.Percent, now)
 }
 
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -49,9 +49,11 @@
 	// percent is the progress, from 0 to 100. lastProgress is when it last changed.
 	percent      int
 	lastProgress clock.Millis
-	// lastSeen is when the worker last reported the run as present.
-	lastSeen clock.Millis
-	pace     pace
+	// lastSeen is when the worker last reported the run as present. stallTime is the time without
+	// progress after which the run counts as stalled.
+	lastSeen  clock.Millis
+	stallTime clock.Millis
+	pace      pace
 	// resumed reports whether the run started from a checkpoint. adopted reports whether an
 	// earlier leader started it, so that its run time before firstSeen is not known.
 	resumed bool
