fleet, soak: start where metrics and peers would share the only port

Change: without a port of its own an instance neither registers nor takes calls of others. The soak gives its instances one, so it plays handing on too.

--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -18,10 +18,11 @@
 }
 
 // peerAddress returns the address at which other instances reach this one, or "" if the settings
-// leave no port for that. The instance then neither registers nor takes calls of others.
+// leave no port for that beside the one for metrics. The instance then neither registers nor takes
+// calls of others.
 func (i *Instance) peerAddress() string {
 	s := i.opts.Settings
-	if s.Ports[0] == 0 {
+	if s.Ports[0] == 0 || s.Ports[0] == i.opts.Metrics {
 		return ""
 	}
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0]))
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -90,6 +90,24 @@
 		return s
 	}
 
+	// Guards against an instance that does not start because metrics and peers share the only port.
+	It("needs no port of its own if the settings leave only the one for metrics", func() {
+		store := platformtest.NewStore()
+		DeferCleanup(store.Close)
+		log := logrus.New()
+		log.SetOutput(GinkgoWriter)
+		_, port, err := net.SplitHostPort(freeAddress())
+		Expect(err).NotTo(HaveOccurred())
+		metrics, err := strconv.Atoi(port)
+		Expect(err).NotTo(HaveOccurred())
+		instance := fleet.New(fleet.Options{Log: logrus.NewEntry(log), Settings: platform.Settings{
+			Name: "e1", IP: "127.0.0.1", CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store.Address(),
+			Ports: [2]int{metrics, metrics},
+		}})
+		Expect(instance.Start(ctx)).To(Succeed())
+		Expect(instance.Stop(ctx)).To(Succeed())
+	})
+
 	It("accepts and tells through another one, and never goes back to an older configuration", func() {
 		store := platformtest.NewStore()
 		DeferCleanup(store.Close)
--- a/soak/process.go
+++ b/soak/process.go
@@ -44,18 +44,21 @@
 	}
 	p := &process{opts: opts, index: index, configPath: filepath.Join(opts.logDir(), fmt.Sprintf("e%d.toml", index))}
 	var err error
-	var metricsPort int
+	var peerPort, metricsPort int
 	if p.callerAddress, _, err = freeAddress(); err != nil {
 		return nil, err
 	}
 	if p.readyAddress, _, err = freeAddress(); err != nil {
 		return nil, err
 	}
+	if _, peerPort, err = freeAddress(); err != nil {
+		return nil, err
+	}
 	if _, metricsPort, err = freeAddress(); err != nil {
 		return nil, err
 	}
 	settings := platformtest.Instance{
-		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Metrics: metricsPort, Store: storeAddress, Lease: maxLease,
+		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Peers: peerPort, Metrics: metricsPort, Store: storeAddress, Lease: maxLease,
 	}
 	return p, settings.Write(p.configPath)
 }
