intake, relay: decide in intake which calls may be handed on, log a dropped error

A configuration that could not be written to a peer was dropped without a log line. No change of behaviour.

--- a/intake/state.go
+++ b/intake/state.go
@@ -19,6 +19,12 @@
 	recordingTime = 40 * clock.Millisecond
 )
 
+// MayRelay reports whether another instance may be able to answer the call better, because this one
+// can't carry it out or may know only an old state or configuration.
+func (a *Answer) MayRelay() bool {
+	return a.Verdict == Busy || a.Verdict == Unsure || a.Verdict == NotReady || a.Outdated
+}
+
 // State returns the state of a job.
 func (h *Handler) State(ctx context.Context, g Grant) Answer {
 	view, answer := h.findOwn(ctx, g)
--- a/relay/config.go
+++ b/relay/config.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
@@ -30,6 +32,7 @@
 	// Config returns the configuration that this instance knows, as the store holds it, and its
 	// version.
 	Config func() (version int64, raw []byte)
+	Log    *logrus.Entry
 }
 
 // NewHandler returns the handler for the calls of other instances. It refuses calls from an instance
@@ -39,8 +42,9 @@
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
 		version, raw := opts.Config()
 		w.Header().Set(versionHeader, strconv.FormatInt(version, 10))
-		// An error means that the other instance has gone; there is nobody to tell.
-		_, _ = w.Write(raw)
+		if _, err := w.Write(raw); err != nil {
+			opts.Log.WithError(err).Info("relay: could not write the configuration")
+		}
 	})
 	mux.Handle(callsPath+"/", http.StripPrefix(callsPath, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		version, _ := opts.Config()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	http.Serve(listener, relay.NewHandler(relay.HandlerOptions{Calls: callers, Config: config}))
+//	http.Serve(listener, relay.NewHandler(relay.HandlerOptions{Calls: callers, Config: config, Log: log}))
 //	r := relay.New(relay.Options{Peers: roster.Peers, Client: client, Version: version, Adopt: adopt, Log: log})
 //	answer := r.Send(ctx, relay.Call{Method: "POST", Path: "/wipe/5c0e7a21d94b36f8", Host: "h", Header: header, Body: body})
 //	switch answer.Outcome {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -78,6 +78,7 @@
 	})
 	server := httptest.NewServer(relay.NewHandler(relay.HandlerOptions{
 		Calls: calls, Config: func() (int64, []byte) { return version, []byte("configuration") },
+		Log: logrus.NewEntry(logrus.New()),
 	}))
 	DeferCleanup(func() {
 		close(released)
