relay: hand a call to each instance at most once

A refusal (401) does not settle an open call and does not make its peer rest, and choose drew the next peer at random from all that don't rest: with two peers the one that refused was asked all three times in one of eight runs, and the caller was told "unsure" although the other peer would have carried the call out.

Ruled out: the test (its two peers are both there and one carries every call out), load.

Change: the peers that were asked for a call are not asked for it again.

Test: 40 relays with two such peers and one that carries the call out, red before; each peer is asked at most once.

Conclusion: a fault of the product on calls whose write was lost, not a flaky test.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,7 +6,7 @@
 // answered with the version of the one that carried them out. So an instance never answers by an
 // older configuration than its caller has seen, and learns of a new one while the store is away.
 //
-// A call is handed on at most maxTries times. An instance that does not answer or can't carry out
+// A call is handed on at most maxTries times, each time to another instance. An instance that does not answer or can't carry out
 // calls either is skipped for a while, so that a call is refused at once while no instance can
 // carry it out.
 //
@@ -121,14 +121,17 @@
 	return &Relay{opts: opts, restUntil: make(map[string]clock.Millis)}
 }
 
-// Send hands a call to other instances, one after the other, until one has carried it out.
+// Send hands a call to other instances, one after the other and each at most once, until one has
+// carried it out.
 func (r *Relay) Send(ctx context.Context, c Call) Answer {
 	open := c.Open
+	asked := make(map[string]bool)
 	for range maxTries {
-		peer, ok := r.choose()
+		peer, ok := r.choose(asked)
 		if !ok || ctx.Err() != nil {
 			break
 		}
+		asked[peer] = true
 		answer := r.try(ctx, peer, c)
 		if answer.Outcome == Answered && (!open || answer.succeeded()) {
 			return answer
@@ -144,9 +147,9 @@
 	return Answer{Outcome: NotRun}
 }
 
-// choose returns a random instance that is not resting, and false if there is none. It forgets
-// instances that are gone.
-func (r *Relay) choose() (string, bool) {
+// choose returns a random instance that is neither resting nor among those asked, and false if
+// there is none. It forgets instances that are gone.
+func (r *Relay) choose(asked map[string]bool) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Clock.Now()
@@ -154,7 +157,7 @@
 	known := make(map[string]clock.Millis)
 	for _, peer := range r.opts.Peers() {
 		known[peer] = r.restUntil[peer]
-		if now >= r.restUntil[peer] {
+		if now >= r.restUntil[peer] && !asked[peer] {
 			awake = append(awake, peer)
 		}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -161,6 +161,19 @@
 		Expect(newRelay(refusesNoKey, carriesOut).Send(context.Background(), c).Status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against an unsure answer although a peer would have carried the call out: a refusal
+	// does not settle an open call, and the peer that refused it must not use up the other tries.
+	It("is handed to each peer once", func() {
+		c := relay.Call{Method: "POST", Path: "/q/1", Host: "h.example", Open: true}
+		for range 40 {
+			h := newRelay(refusesNoKey, refusesNoKey, carriesOut)
+			Expect(h.Send(context.Background(), c).Status).To(Equal(http.StatusOK))
+			for _, p := range h.peers {
+				Expect(p.asked.Load()).To(BeNumerically("<=", 1))
+			}
+		}
+	})
+
 	It("is refused at once while no peer can carry it out", func() {
 		h := newRelay(refuses, refuses, isGone)
 		h.send()
