controller: retry a failed reading of versions on the event loop

Cause: refreshVersions called afterRetryDelay, which reads the term, from the goroutine that reads the store. When the leadership was lost while it read, the retry ran in term 0, wrote to a map that is nil then, and the process panicked; besides, it is a data race.

Ruled out: nothing else calls afterRetryDelay off the event loop.

Change: the retry is posted to the event loop under the old term, and the failed read is logged.

--- a/controller/flush.go
+++ b/controller/flush.go
@@ -146,9 +146,14 @@
 		for i, j := range b.jobs {
 			e, err := c.opts.Store.Get(ctx, board.ProgressKey(j.id))
 			if err != nil && kv.KindOf(err) != kv.Missing {
-				c.afterRetryDelay(func() {
-					c.flushing = false
-					c.requeue(b)
+				c.opts.Log.WithError(err).WithField("job", j.id).Info("controller: version not read")
+				c.post(func() {
+					c.runInTerm(term, func() {
+						c.afterRetryDelay(func() {
+							c.flushing = false
+							c.requeue(b)
+						})
+					})
 				})
 				return
 			}
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -87,6 +87,29 @@
 	// loseNextAnswer discards the worker's answer to the next Start and then refuses all calls
 	// to this worker.
 	loseNextAnswer bool
+	// loseNextWrite discards the store's answer to the controller's next write. readDelay is the
+	// delay before each read of a single key.
+	loseNextWrite bool
+	readDelay     time.Duration
+}
+
+func (h *hooks) Get(ctx context.Context, key string) (kv.Entry, error) {
+	h.mu.Lock()
+	delay := h.readDelay
+	h.mu.Unlock()
+	time.Sleep(delay)
+	return h.Store.Get(ctx, key)
+}
+
+func (h *hooks) Commit(ctx context.Context, ops []kv.Op) (uint64, error) {
+	version, err := h.Store.Commit(ctx, ops)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.loseNextWrite {
+		h.loseNextWrite = false
+		return 0, &kv.Error{Op: "commit", Kind: kv.Ambiguous, Err: errAnswerLost}
+	}
+	return version, err
 }
 
 func (h *hooks) ListPage(ctx context.Context, prefix, after string) (kv.Page, error) {
