witness, controller: tell callers of ends that the store can't record

Ruled out: recovery (first orders 0.1 to 0.4 s after the store's return), and refusals, which a caller's last try 2.75 s after the first limits.

Change: package witness. The leader goes on reading ends without a lease of its own, and shares those that it can't record. Once an instance of each failure domain holds an end, all instances tell it; an instance that reaches the store or has seen a later leader refuses, and nothing is told. A later leader takes over what it holds. Instances register their failure domain as a part of their key; values stay, so that older instances read them.

--- a/board/board.go
+++ b/board/board.go
@@ -85,14 +85,21 @@
 	Cancelled bool
 	// Version is the version of the progress key; 0 before its first write.
 	Version uint64
+	// Held is the end of the job if it is known from a leader and not recorded yet; nil
+	// otherwise. Shown reports whether callers may be told of it.
+	Held  *workflow.Progress
+	Shown bool
 }
 
-// State returns the state of the job as reported to callers. A recorded final state takes
-// precedence over a cancellation, and a cancellation over the other states.
+// State returns the state of the job as reported to callers. A final state, if it is recorded or
+// callers may be told of it, takes precedence over a cancellation, and a cancellation over the
+// other states.
 func (v *View) State() workflow.State {
 	switch {
 	case v.Progress.State.Final():
 		return v.Progress.State
+	case v.Held != nil && v.Shown:
+		return v.Held.State
 	case v.Cancelled:
 		return workflow.Cancelled
 	case v.Progress.State == "":
@@ -105,6 +112,10 @@
 type Board struct {
 	mu   sync.RWMutex
 	jobs map[string]*View
+	// held holds the ends of jobs that are not recorded yet, by ID. leaderTerm is the term of the
+	// last leader that was seen; 0 before.
+	held       map[string]heldEnd
+	leaderTerm uint64
 	// watchers are called with the views of new and newly cancelled jobs. onDecodeError is
 	// called for values that can't be decoded.
 	watchers      []func(View)
@@ -117,7 +128,7 @@
 	if onDecodeError == nil {
 		onDecodeError = func(string, error) {}
 	}
-	return &Board{jobs: make(map[string]*View), onDecodeError: onDecodeError}
+	return &Board{jobs: make(map[string]*View), held: make(map[string]heldEnd), onDecodeError: onDecodeError}
 }
 
 // Watch registers f to be called with the view of a job when its record or its cancellation is
@@ -137,7 +148,7 @@
 	var updates []View
 	for _, e := range entries {
 		if e.Key == LeaderKey {
-			hasLeader = true
+			hasLeader, b.leaderTerm = true, max(b.leaderTerm, e.Version)
 			continue
 		}
 		b.update(e)
@@ -145,7 +156,7 @@
 	for id, v := range b.jobs {
 		previous := previousJobs[id]
 		if previous == nil || previous.Record == nil || previous.Cancelled != v.Cancelled {
-			updates = append(updates, *v)
+			updates = append(updates, b.withHeld(v))
 		}
 	}
 	watchers := b.watchers
@@ -162,6 +173,9 @@
 	for _, c := range changes {
 		if c.Key == LeaderKey {
 			leaderChanged, hasLeader = true, !c.Deleted
+			if hasLeader {
+				b.leaderTerm = max(b.leaderTerm, c.Version)
+			}
 			continue
 		}
 		if c.Deleted {
@@ -169,7 +183,7 @@
 			continue
 		}
 		if v := b.update(c.Entry); v != nil {
-			updates = append(updates, *v)
+			updates = append(updates, b.withHeld(v))
 		}
 	}
 	watchers := b.watchers
@@ -222,6 +236,9 @@
 			return nil
 		}
 		v.Progress, v.Version = p, e.Version
+		if p.State.Final() {
+			delete(b.held, id)
+		}
 	case cancelKind:
 		if !v.Cancelled {
 			v.Cancelled = true
@@ -235,6 +252,7 @@
 	id, kind, ok := split(key)
 	if ok && kind == recordKind {
 		delete(b.jobs, id)
+		delete(b.held, id)
 	}
 }
 
@@ -246,7 +264,7 @@
 	if v == nil || v.Record == nil {
 		return View{}, false
 	}
-	return *v, true
+	return b.withHeld(v), true
 }
 
 // All returns the views of all jobs whose records are known, in no particular order.
@@ -256,7 +274,7 @@
 	list := make([]View, 0, len(b.jobs))
 	for _, v := range b.jobs {
 		if v.Record != nil {
-			list = append(list, *v)
+			list = append(list, b.withHeld(v))
 		}
 	}
 	return list
@@ -283,7 +301,10 @@
 	defer b.mu.RUnlock()
 	n := 0
 	for _, v := range b.jobs {
-		if v.Record != nil && v.Record.Queue == queue && v.State() == workflow.Queued {
+		if v.Record == nil || v.Record.Queue != queue {
+			continue
+		}
+		if view := b.withHeld(v); view.State() == workflow.Queued {
 			n++
 		}
 	}
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -41,6 +41,36 @@
 		Entry("whose older progress arrives after the newer one", workflow.Completed, record("a", "q"), progress("a", 9, workflow.Completed), progress("a", 4, workflow.Running)),
 	)
 
+	DescribeTable("returns the state of a job whose end is held",
+		func(want workflow.State, shown bool, later ...kv.Entry) {
+			b := board.New(nil)
+			b.Add(record("a", "q"), progress("a", 2, workflow.Running))
+			b.Hold(shown, board.End{Job: "a", Progress: workflow.Progress{State: workflow.Completed}})
+			b.Hold(false, board.End{Job: "a", Progress: workflow.Progress{State: workflow.Completed}})
+			b.Add(later...)
+			v, _ := b.Find("a")
+			Expect(v.State()).To(Equal(want))
+		},
+		Entry("and not told yet", workflow.Running, false),
+		Entry("and told", workflow.Completed, true),
+		Entry("and told before its cancellation", workflow.Completed, true, cancel),
+		Entry("and not told before its cancellation", workflow.Cancelled, false, cancel),
+		Entry("and told before a newer record says that it runs", workflow.Completed, true, progress("a", 5, workflow.Running)),
+		Entry("until another end is recorded", workflow.Failed, true, progress("a", 5, workflow.Failed)),
+	)
+
+	It("keeps held ends through a new list, and forgets them once they are recorded", func() {
+		b := board.New(nil)
+		b.Hold(true, board.End{Job: "a", Progress: workflow.Progress{State: workflow.Completed}})
+		b.Replace([]kv.Entry{record("a", "q"), progress("a", 2, workflow.Running), {Key: board.LeaderKey, Version: 4}})
+		v, _ := b.Find("a")
+		Expect(v.State()).To(Equal(workflow.Completed))
+		Expect(b.LeaderTerm()).To(Equal(uint64(4)))
+		b.Add(progress("a", 6, workflow.Completed))
+		v, _ = b.Find("a")
+		Expect(v.Held).To(BeNil())
+	})
+
 	It("does not know a job without its record", func() {
 		b := board.New(nil)
 		b.Add(progress("a", 2, workflow.Running))
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -84,6 +84,9 @@
 	// delivered a change. If it is nil, the watch is taken to be reliable and notices are
 	// never read.
 	SinceStoreChange func() clock.Millis
+	// ShareEnds makes ends of jobs known that the store does not record. It must not block; nil
+	// means that callers are told of no end before it is recorded.
+	ShareEnds func(term uint64, ends []board.End)
 	// Config returns the current configuration.
 	Config func() *site.Config
 	// Limits returns the current time limits.
@@ -248,7 +251,7 @@
 }
 
 // leadershipConfirmed reports whether this instance certainly still leads the term under
-// which the controller runs. Only then may it write to the store or send requests to workers.
+// which the controller runs. Only then may it write to the store, give orders or renew leases.
 func (c *Controller) leadershipConfirmed() bool {
 	term, confirmed := c.opts.Term()
 	return confirmed && term == c.term && c.term != 0
@@ -373,6 +376,7 @@
 		c.checkNodeTimeouts(n, now)
 	}
 	c.recordJobStarts(now)
+	c.shareUnrecordedEnds(now)
 	c.deleteExpiredJobs(now)
 	c.readNotices(now)
 	c.planNeeded = true
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -86,6 +86,7 @@
 		endedAt: v.Progress.EndedAt, cancelled: v.Cancelled, learnedAt: c.opts.Clock.Now(),
 	}
 	c.jobs[v.ID] = j
+	c.restoreHeldEnd(j, v.Held)
 	for _, p := range j.progress.Parts {
 		c.restorePart(j, p)
 	}
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -257,7 +257,11 @@
 	now := c.opts.Clock.Now()
 	probe := c.needsDomainProbe(n, now)
 	needed := probe || n.needsPoll()
-	if !needed || !c.jobsLoaded || !c.workersListed || n.polling || now < n.pollRetryAt || !c.leadershipConfirmed() {
+	if !needed || !c.jobsLoaded || !c.workersListed || n.polling || now < n.pollRetryAt {
+		return
+	}
+	if !c.leadershipConfirmed() {
+		c.readEnds(n)
 		return
 	}
 	if n.pollAnswered && len(n.unackedEnds) > 0 && now-n.lastAnswer < pollRetryDelay {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,6 +37,7 @@
 	"github.com/chestnutsail/chestnutsail/relay"
 	"github.com/chestnutsail/chestnutsail/roster"
 	"github.com/chestnutsail/chestnutsail/site"
+	"github.com/chestnutsail/chestnutsail/witness"
 )
 
 const (
@@ -102,6 +103,7 @@
 	configMirror  *mirror.Mirror
 	jobMirror     *mirror.Mirror
 	roster        *roster.Roster
+	witness       *witness.Witness
 	election      *election.Election
 	storeHealth   *health.Monitor
 	intakeHandler *intake.Handler
@@ -169,7 +171,10 @@
 		return err
 	}
 	if address := i.peerAddress(); address != "" {
-		if err := i.listenAndServe(address, peers); err != nil {
+		mux := http.NewServeMux()
+		mux.Handle("POST "+witness.Path, i.witness)
+		mux.Handle("/", peers)
+		if err := i.listenAndServe(address, mux); err != nil {
 			return err
 		}
 	}
@@ -205,14 +210,20 @@
 		Store: store, Key: board.LeaderKey, Name: s.Name, Delay: candidacyDelay(s), Clock: i.clock, Log: log,
 		OnElected: func(term uint64) { jobController.StartLeading(term) }, OnLost: func() { jobController.StopLeading() },
 	})
+	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Domain: s.Domain, Address: i.peerAddress(), Clock: i.clock, Log: log})
+	i.witness = witness.New(witness.Options{
+		Board: i.board, Others: i.roster.Others, Domain: s.Domain, Reachable: i.storeHealth.OK, Client: platform.NewPeerClient(), Log: log,
+		OnOutcome: func(o witness.Outcome) {
+			i.counters.Counter(`chestnutsail_ends_shared_total{outcome="` + string(o) + `"}`).Inc()
+		},
+	})
 	jobController = controller.New(controller.Options{
 		Store: store, Workers: platform.NewWorkerClient(), Board: i.board, PageTimeout: pageTimeout(s),
 		Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.election.Term, Config: i.config.Load, SinceStoreChange: func() clock.Millis { return i.jobMirror.SinceChange() },
-		Limits: i.limits,
-		Clock:  i.clock, Counters: i.counters, Log: log,
+		Limits: i.limits, ShareEnds: i.witness.Share,
+		Clock: i.clock, Counters: i.counters, Log: log,
 	})
-	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Address: i.peerAddress(), Clock: i.clock, Log: log})
 	i.jobMirror = mirror.New(mirror.Options{
 		Store: store, Prefix: board.Prefix, PageTimeout: pageTimeout(s), Clock: i.clock, Log: log, MinInterval: i.watchInterval,
 		Replace: func(entries []kv.Entry) {
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -66,6 +66,28 @@
 	}
 }
 
+// startInstance starts an instance in a failure domain with a port for the calls of others. The
+// instance is stopped at the end of the spec.
+func startInstance(name, domain, store string) (platform.Settings, *fleet.Instance) {
+	GinkgoHelper()
+	_, port, err := net.SplitHostPort(freeAddress())
+	Expect(err).NotTo(HaveOccurred())
+	peerPort, err := strconv.Atoi(port)
+	Expect(err).NotTo(HaveOccurred())
+	s := platform.Settings{
+		Name: name, IP: "127.0.0.1", Domain: domain, CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store, Cores: 1, LinkSpeed: 1000,
+		Ports:  [2]int{peerPort, 0},
+		Bounds: platform.Bounds{MaxLease: 5 * clock.Second, StopTime: 100 * clock.Millisecond, TerminationGrace: 3 * clock.Second, HeartbeatInterval: clock.Second},
+	}
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	instance := fleet.New(fleet.Options{Settings: s, Log: log.WithField("instance", name)})
+	ctx := context.Background()
+	Expect(instance.Start(ctx)).To(Succeed())
+	DeferCleanup(func() { _ = instance.Stop(ctx) })
+	return s, instance
+}
+
 // Guards against callers that are refused, or answered by an old configuration, by an instance that
 // alone has lost the store.
 var _ = Describe("an instance that alone has lost the store", func() {
@@ -73,20 +95,7 @@
 	ctx := context.Background()
 	caller := platformtest.NewCaller(2 * time.Second)
 	start := func(name, store string) platform.Settings {
-		_, port, err := net.SplitHostPort(freeAddress())
-		Expect(err).NotTo(HaveOccurred())
-		peerPort, err := strconv.Atoi(port)
-		Expect(err).NotTo(HaveOccurred())
-		s := platform.Settings{
-			Name: name, IP: "127.0.0.1", Domain: "a", CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store, Cores: 1, LinkSpeed: 1000,
-			Ports:  [2]int{peerPort, 0},
-			Bounds: platform.Bounds{MaxLease: 5 * clock.Second, StopTime: 100 * clock.Millisecond, TerminationGrace: 3 * clock.Second, HeartbeatInterval: clock.Second},
-		}
-		log := logrus.New()
-		log.SetOutput(GinkgoWriter)
-		instance := fleet.New(fleet.Options{Settings: s, Log: log.WithField("instance", name)})
-		Expect(instance.Start(ctx)).To(Succeed())
-		DeferCleanup(func() { _ = instance.Stop(ctx) })
+		s, _ := startInstance(name, "a", store)
 		return s
 	}
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -7,10 +7,12 @@
 //	r := roster.New(roster.Options{Store: store, Prefix: "cs/i/", Name: "e1", Address: "10.1.0.19:8521"})
 //	r.Replace(entries) // called by the mirror, as is r.Apply
 //	r.Peers()          // the addresses of the other instances
+//	r.Others()         // the same with their failure domains
 //	r.Stop(ctx)
 package roster
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -46,27 +48,35 @@
 	// Prefix is the prefix of the instances' keys.
 	Prefix string
 	// Name is the unique name of this instance, and Address the address that it registers; ""
-	// registers nothing.
+	// registers nothing. Domain is its failure domain.
 	Name    string
 	Address string
+	Domain  string
 	Clock   *clock.Clock
 	Log     *logrus.Entry
 }
 
+// Instance is a registered instance. Domain is its failure domain; "" if it did not register one.
+type Instance struct {
+	Address string
+	Domain  string
+}
+
 // Roster registers one instance and knows the others. It is safe for concurrent use.
 type Roster struct {
 	opts    Options
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
-	mu        sync.Mutex
-	addresses map[string]string
+	mu sync.Mutex
+	// instances holds the registered instances by key.
+	instances map[string]Instance
 }
 
 // New starts to register the instance and to keep it registered until Stop.
 func New(opts Options) *Roster {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Roster{opts: opts, cancel: cancel, addresses: make(map[string]string)}
+	r := &Roster{opts: opts, cancel: cancel, instances: make(map[string]Instance)}
 	if opts.Address != "" {
 		r.running.Go(func() { r.keepRegistered(ctx) })
 	}
@@ -85,7 +95,7 @@
 func (r *Roster) Replace(entries []kv.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.addresses)
+	clear(r.instances)
 	for _, e := range entries {
 		r.add(e)
 	}
@@ -97,7 +107,7 @@
 	defer r.mu.Unlock()
 	for _, c := range changes {
 		if c.Deleted {
-			delete(r.addresses, c.Key)
+			delete(r.instances, c.Key)
 			continue
 		}
 		r.add(c.Entry)
@@ -105,22 +115,45 @@
 }
 
 func (r *Roster) add(e kv.Entry) {
-	if strings.HasPrefix(e.Key, r.opts.Prefix) {
-		r.addresses[e.Key] = string(e.Value)
+	if path, ok := strings.CutPrefix(e.Key, r.opts.Prefix); ok {
+		r.instances[e.Key] = Instance{Address: string(e.Value), Domain: domainOf(path)}
 	}
 }
 
-// Peers returns the addresses of the other instances, sorted.
-func (r *Roster) Peers() []string {
+// keyParts is the number of parts of a key after the prefix: the failure domain, the name and the
+// lease. Keys of earlier versions have no failure domain.
+const keyParts = 3
+
+func domainOf(path string) string {
+	parts := strings.Split(path, "/")
+	if len(parts) < keyParts {
+		return ""
+	}
+	return parts[0]
+}
+
+// Others returns the other instances, sorted by address.
+func (r *Roster) Others() []Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var peers []string
-	for _, address := range r.addresses {
-		if address != r.opts.Address {
-			peers = append(peers, address)
+	var others []Instance
+	for _, i := range r.instances {
+		if i.Address != r.opts.Address {
+			others = append(others, i)
 		}
 	}
-	slices.Sort(peers)
+	slices.SortFunc(others, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Domain, b.Domain))
+	})
+	return slices.Compact(others)
+}
+
+// Peers returns the addresses of the other instances, sorted.
+func (r *Roster) Peers() []string {
+	var peers []string
+	for _, i := range r.Others() {
+		peers = append(peers, i.Address)
+	}
 	return slices.Compact(peers)
 }
 
@@ -163,7 +196,7 @@
 	}
 	// The lease makes the key unique: the key of an earlier process of the same name may remain
 	// until its lease expires.
-	key := fmt.Sprintf("%s%s/%d", r.opts.Prefix, r.opts.Name, lease)
+	key := fmt.Sprintf("%s%s/%s/%d", r.opts.Prefix, r.opts.Domain, r.opts.Name, lease)
 	_, err = r.opts.Store.Commit(ctx, []kv.Op{{Key: key, Value: []byte(r.opts.Address), Lease: lease}})
 	if err != nil {
 		return 0, err
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -33,7 +33,7 @@
 	log.SetOutput(GinkgoWriter)
 	entry := log.WithField("instance", name)
 	client := platform.NewStore(platform.StoreOptions{Address: store.Address()})
-	m := &member{Roster: roster.New(roster.Options{Store: client, Prefix: prefix, Name: name, Address: address, Clock: clock.New(), Log: entry})}
+	m := &member{Roster: roster.New(roster.Options{Store: client, Prefix: prefix, Name: name, Address: address, Domain: "a", Clock: clock.New(), Log: entry})}
 	m.mirror = mirror.New(mirror.Options{Store: client, Prefix: "cs/", Replace: m.Replace, Apply: m.Apply, Clock: clock.New(), Log: entry})
 	DeferCleanup(func(ctx context.Context) {
 		_ = m.Stop(ctx)
