spool: write lines whole, and count those that are lost

Cause: found by reading logs back with explain: 9 lines of 38,000 were cut off, each at byte 8192 of a burst of lines, and the rest of the burst was missing. A pipe takes a part of a large write and then no more for a while (EAGAIN); the spool ignored that error and dropped the rest without counting it, although docs/OPERATIONS.md says that dropped lines are counted.

Ruled out: processes killed while they wrote (no kill was near), the queue (its counter stayed 0).

Change: at most 4 KB and the line that passes them are written at a time, what a full pipe does not take is written again for a second, lines that are lost count as dropped, and the line after a torn one starts on its own. A process that ends gives up at the first line that can't be written.

--- a/spool/spool.go
+++ b/spool/spool.go
@@ -1,6 +1,6 @@
 // Package spool provides an asynchronous writer for log lines, which never blocks the code that logs. Lines
 // are queued for a goroutine that writes them. While the queue is full, new lines are dropped, and a
-// callback can count them.
+// callback can count them. Lines are written whole, also to a pipe that takes only a part of a write.
 //
 // # Usage
 //
@@ -10,19 +10,34 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"sync"
+	"syscall"
+
+	"github.com/chestnutsail/chestnutsail/clock"
 )
 
 // DefaultQueueLength is the default number of lines that the queue holds.
 const DefaultQueueLength = 2048
 
+const (
+	// maxBatch is the number of bytes from which on no more lines are added to a write. A pipe takes
+	// a few pages at a time and refuses the rest while its reader is behind.
+	maxBatch = 4 << 10
+	// maxTries is the number of writes of one batch to a pipe that takes no more for now, retryDelay
+	// the time between two of them.
+	maxTries   = 100
+	retryDelay = 10 * clock.Millisecond
+)
+
 // Options configures a Spool.
 type Options struct {
 	Out io.Writer
 	// QueueLength is the number of lines that the queue holds; 0 means DefaultQueueLength.
 	QueueLength int
-	// OnDrop is called for each line that is dropped; it may be nil.
+	// OnDrop is called for each line that is dropped, because the queue is full or Out fails; it may
+	// be nil.
 	OnDrop func()
 }
 
@@ -33,6 +48,9 @@
 	stop   chan struct{}
 	writer sync.WaitGroup
 	once   sync.Once
+	// torn is set while the last line that was written is not whole. Only the writing goroutine uses
+	// it.
+	torn bool
 }
 
 // New returns a spool whose goroutine writes to opts.Out until Stop is called.
@@ -78,20 +96,61 @@
 	}
 }
 
-// write writes a line together with the lines queued behind it. It ignores errors, because there is no
-// other log to report them to.
-func (s *Spool) write(line []byte) {
-	for range len(s.lines) {
-		line = append(line, <-s.lines...)
+// write writes a line together with those queued behind it, up to maxBatch bytes, and reports whether
+// it could.
+func (s *Spool) write(batch []byte) bool {
+	for len(s.lines) > 0 && len(batch) < maxBatch {
+		batch = append(batch, <-s.lines...)
+	}
+	if s.torn {
+		// The line that was cut off must not swallow the next one.
+		batch = append([]byte{'\n'}, batch...)
+	}
+	rest := s.writeAll(batch)
+	if written := len(batch) - len(rest); written > 0 {
+		s.torn = batch[written-1] != '\n'
+	}
+	for range bytes.Count(rest, []byte{'\n'}) {
+		s.opts.OnDrop()
+	}
+	return len(rest) == 0
+}
+
+// writeAll writes a batch and returns what could not be written. A pipe that takes no more for now is
+// tried again.
+func (s *Spool) writeAll(batch []byte) []byte {
+	for range maxTries {
+		n, err := s.opts.Out.Write(batch)
+		batch = batch[n:]
+		if len(batch) == 0 || !errors.Is(err, syscall.EAGAIN) {
+			break
+		}
+		clock.Sleep(context.Background(), retryDelay)
 	}
-	_, _ = s.opts.Out.Write(line)
+	return batch
 }
 
+// writeRemaining writes the queued lines. It gives up at the first that can't be written, so that the
+// process can end.
 func (s *Spool) writeRemaining() {
 	for {
 		select {
 		case line := <-s.lines:
-			s.write(line)
+			if !s.write(line) {
+				s.dropRemaining()
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (s *Spool) dropRemaining() {
+	for {
+		select {
+		case <-s.lines:
+			s.opts.OnDrop()
 		default:
 			return
 		}
