explain, cmd: tell from the logs why jobs came late

Lines that can't be read are told with file and number; the others are explained, exit code 2.

Not built: the SVG timeline.

--- a/cmd/chestnutsail/main.go
+++ b/cmd/chestnutsail/main.go
@@ -42,7 +42,7 @@
 		&entryCommand{}, &serveCommand{},
 		&checkCommand{}, &getCommand{}, &diffCommand{}, &applyCommand{},
 		&submitCommand{}, &waitCommand{}, &cancelCommand{}, &loadCommand{},
-		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{},
+		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{}, &explainCommand{},
 		&tokenCommand{}, &completionCommand{}, &versionCommand{},
 	}
 }
