planner, controller: count what an urgent task is worth when it would be evicted

Cause: a unit within its guarantee may evict urgent work of another account that is beyond its own.

Change: the cost of an eviction is the work that is lost and, for urgent work, 250 core-seconds a task, which is what an urgent job may throw away for one.

Tests: three guaranteed units beside urgent and other work, one red before.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -280,16 +280,11 @@
 	case guaranteed:
 		return 1e9
 	case p.job.record.Priority == urgentPriority:
-		return float64(p.step.Count) * urgentEvictionLoss
+		return float64(p.step.Count) * planner.UrgentTaskWorth
 	}
 	return 0
 }
 
-// urgentEvictionLoss is how much work, in core-seconds for each task, an urgent job beyond its
-// account's guarantee may cause to be lost by evictions. At the prices of both sites, that is
-// worth less than a task.
-const urgentEvictionLoss = 250
-
 // addRunning adds the runs of a part, except for those being stopped, to the running work in the
 // input of a plan. A gang is evicted as a whole.
 func (c *Controller) addRunning(snap *snapshot, p *part, guaranteed bool, now clock.Millis) {
--- a/planner/evict.go
+++ b/planner/evict.go
@@ -8,8 +8,8 @@
 
 // evict adds running work to the plan's evictions so that the unit fits once that work has
 // stopped, and claims the resources for the unit. Of all node sets that the unit can use, it
-// takes the one with the least loss. It returns false and changes nothing if it finds no
-// eviction within the loss that the unit may cause (MaxLoss) that makes the unit fit.
+// takes the one with the least cost. It returns false and changes nothing if it finds no
+// eviction within the cost that the unit may cause (MaxLoss) that makes the unit fit.
 func (p *plan) evict(u *Unit) bool {
 	if u.Hopeless && !u.Guaranteed {
 		// Hopeless units are served last. Other units would take the freed resources first and
@@ -17,14 +17,14 @@
 		return false
 	}
 	var best []int
-	leastLoss := math.Inf(1)
+	leastCost := math.Inf(1)
 	for _, set := range p.candidateSets(u) {
-		victims, loss, ok := p.victims(u, set)
-		if ok && loss < leastLoss {
-			best, leastLoss = victims, loss
+		victims, cost, ok := p.victims(u, set)
+		if ok && cost < leastCost {
+			best, leastCost = victims, cost
 		}
 	}
-	if best == nil || leastLoss > u.MaxLoss {
+	if best == nil || leastCost > u.MaxLoss {
 		return false
 	}
 	p.countAsFreeSoon(best, 1)
@@ -41,6 +41,20 @@
 	return true
 }
 
+// UrgentTaskWorth is how much work, in core-seconds, may be thrown away so that one urgent task ends
+// in time. At the prices of both sites, that work is worth less than such a task.
+const UrgentTaskWorth = 250
+
+// evictionCost returns what it costs to evict running work, in core-seconds: the work that is lost
+// and, for urgent work, which comes late by it, what that is worth.
+func (p *plan) evictionCost(w int) float64 {
+	work := &p.Running[w]
+	if work.Priority > 0 {
+		return work.Loss
+	}
+	return work.Loss + UrgentTaskWorth*float64(len(work.Nodes))
+}
+
 // candidateSets returns the sets of nodes on which the unit may be placed. The unit must fit
 // into a single one of them.
 func (p *plan) candidateSets(u *Unit) [][]int {
@@ -69,10 +83,10 @@
 }
 
 // victims selects the running work to evict so that the unit fits on a set of nodes. It returns
-// the indices in Running and their total loss in core-seconds. It selects greedily, by the loss for
+// the indices in Running and their total cost in core-seconds. It selects greedily, by the cost for
 // each additional task. ok is false if nothing has to be evicted, if evictions can't make enough
 // room, or if the selection exceeds u.MaxLoss.
-func (p *plan) victims(u *Unit, set []int) (chosen []int, loss float64, ok bool) {
+func (p *plan) victims(u *Unit, set []int) (chosen []int, cost float64, ok bool) {
 	c := victimSelection{plan: p, unit: u, free: make(map[int]Shape), selected: make(map[int]bool), inSet: make([]bool, len(p.Nodes))}
 	c.missing = p.requiredTasks(u)
 	for _, n := range set {
@@ -96,13 +110,13 @@
 			return nil, 0, false
 		}
 	}
-	return c.chosen, c.loss, len(c.chosen) > 0
+	return c.chosen, c.cost, len(c.chosen) > 0
 }
 
 // victimSelection is the state of the search for work to evict for one unit. inSet marks the nodes
 // on which the unit may be placed. free holds, by node, the resources that are free after the
 // evictions selected so far; nodes without an entry are unchanged. selected and chosen both hold
-// the indices in Running of the work to evict, and loss is its total loss in core-seconds.
+// the indices in Running of the work to evict, and cost is its total cost in core-seconds.
 type victimSelection struct {
 	plan     *plan
 	unit     *Unit
@@ -110,7 +124,7 @@
 	free     map[int]Shape
 	selected map[int]bool
 	chosen   []int
-	loss     float64
+	cost     float64
 	// missing is the number of tasks of the unit that still have no place.
 	missing int
 }
@@ -120,8 +134,8 @@
 type nodeEviction struct {
 	node    int
 	victims []int
-	// lossPerTask is the loss in core-seconds for each additional task that fits.
-	lossPerTask float64
+	// costPerTask is the cost in core-seconds for each additional task that fits.
+	costPerTask float64
 }
 
 func (c *victimSelection) freeOn(n int) Shape {
@@ -131,7 +145,7 @@
 	return c.plan.Nodes[n].FreeSoon
 }
 
-// nodeEvictions returns the next possible eviction of each node, ordered by the loss for each
+// nodeEvictions returns the next possible eviction of each node, ordered by the cost for each
 // additional task.
 func (c *victimSelection) nodeEvictions(set []int) []nodeEviction {
 	var list []nodeEviction
@@ -143,7 +157,7 @@
 			list = append(list, eviction)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b nodeEviction) int { return cmp.Compare(a.lossPerTask, b.lossPerTask) })
+	slices.SortStableFunc(list, func(a, b nodeEviction) int { return cmp.Compare(a.costPerTask, b.costPerTask) })
 	return list
 }
 
@@ -151,25 +165,25 @@
 	free := c.freeOn(n)
 	before := c.plan.slots(c.unit, n, free)
 	eviction := nodeEviction{node: n}
-	loss := 0.0
+	cost := 0.0
 	for _, w := range c.plan.evictable(c.unit, n, c.selected) {
 		work := &c.plan.Running[w]
 		eviction.victims = append(eviction.victims, w)
-		loss += work.Loss
+		cost += c.plan.evictionCost(w)
 		for _, member := range work.Nodes {
 			if member == n {
 				free = free.Add(work.Shape)
 			}
 		}
 		if gained := c.plan.slots(c.unit, n, free) - before; gained > 0 {
-			eviction.lossPerTask = loss / float64(gained)
+			eviction.costPerTask = cost / float64(gained)
 			return eviction, true
 		}
 	}
 	return nodeEviction{}, false
 }
 
-// add adds the victims of an eviction to the selection. It reports whether the total loss is
+// add adds the victims of an eviction to the selection. It reports whether the total cost is
 // still within what the unit may cause.
 func (c *victimSelection) add(eviction nodeEviction) bool {
 	for _, w := range eviction.victims {
@@ -181,12 +195,12 @@
 		work := &c.plan.Running[w]
 		c.selected[w] = true
 		c.chosen = append(c.chosen, w)
-		c.loss += work.Loss
+		c.cost += c.plan.evictionCost(w)
 		for _, n := range work.Nodes {
 			c.addFree(n, work.Shape)
 		}
 	}
-	return c.loss <= c.unit.MaxLoss
+	return c.cost <= c.unit.MaxLoss
 }
 
 // addFree adds free resources on a node and lowers missing by the tasks that now fit there.
@@ -208,7 +222,7 @@
 }
 
 // evictable returns the indices in Running of the work on a node that may be evicted for a unit and
-// is not selected yet, ordered by loss. Work within a guarantee and pinned work are never
+// is not selected yet, ordered by cost. Work within a guarantee and pinned work are never
 // evicted; other work must have a lower priority, unless the unit is within its guarantee.
 func (p *plan) evictable(u *Unit, n int, selected map[int]bool) []int {
 	var list []int
@@ -222,6 +236,6 @@
 	if len(list) < 2 {
 		return list
 	}
-	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(p.Running[a].Loss, p.Running[b].Loss) })
+	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(p.evictionCost(a), p.evictionCost(b)) })
 	return list
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -144,7 +144,7 @@
 	Rank     clock.Millis
 	Waited   clock.Millis
 	Estimate clock.Millis
-	// MaxLoss is the largest loss in core-seconds that evictions for the unit may cause.
+	// MaxLoss is the largest cost in core-seconds of the evictions that the unit may cause.
 	MaxLoss float64
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -182,6 +182,23 @@
 		Expect(s.placements[1]).To(HaveLen(1))
 	})
 
+	// The load is a guaranteed job that needs a worker, beside urgent work of another account that
+	// has just begun and so would lose less than the other work.
+	DescribeTable("evicts for a guaranteed unit",
+		func(victim int, running ...planner.RunningWork) {
+			const cores, accels = 32000, 8
+			in := planner.Input{Units: []planner.Unit{{Service: "svc", Guaranteed: true, Shape: planner.Shape{Cores: 1000, Accels: 8}, Count: 1, Gang: true, MaxLoss: 1e9}}, Running: running}
+			for i := range running {
+				running[i].Nodes, running[i].Shape = []int{i}, planner.Shape{Cores: 1000, Accels: accels}
+				in.Nodes = append(in.Nodes, planner.Node{ID: fmt.Sprint(i), Service: "svc", Rack: "r", Capacity: planner.Shape{Cores: cores, Accels: accels}, Free: planner.Shape{Cores: cores - 1000}, FreeSoon: planner.Shape{Cores: cores - 1000}, Usable: true})
+			}
+			Expect(planner.Plan(in).Evict).To(Equal([]int{victim}))
+		},
+		Entry("work that is not urgent, although it would lose more", 1, planner.RunningWork{Priority: 0, Loss: 5}, planner.RunningWork{Priority: 2, Loss: 200}),
+		Entry("urgent work, if the other would lose more than an urgent task is worth", 0, planner.RunningWork{Priority: 0, Loss: 5}, planner.RunningWork{Priority: 1, Loss: 600}),
+		Entry("the urgent work that loses less, if there is no other", 1, planner.RunningWork{Priority: 0, Loss: 50}, planner.RunningWork{Priority: 0, Loss: 5}),
+	)
+
 	It("does not let a guaranteed gang wait for a single rack longer than a reclaim may take", func() {
 		s := newCluster(2, 2)
 		for range 2 {
