election: let the lease on the leadership last 1 s

Ruled out: the new leader's own start (jobs loaded and first order within 40 ms), room (most waited 15 ms once there was a leader).

Change: the shortest lease that the store grants, renewed every 200 ms. Slow stores answer within 250 ms, so four renewals in a row would have to fail.

--- a/election/election.go
+++ b/election/election.go
@@ -35,7 +35,7 @@
 // Durations in milliseconds.
 const (
 	// DefaultTTL is the default time after the last renewal until the leader's key expires.
-	DefaultTTL = 1500 * clock.Millisecond
+	DefaultTTL = clock.Second
 	// renewalsPerTTL is the number of renewals in one TTL.
 	renewalsPerTTL = 5
 	// callTimeout is the timeout of one call of the store.
