heartbeat, election: end the lease of a leader that has failed

Ruled out: writing the leader's key over the old one's. The old leader would go on renewing its lease, and the leases of workers that only it reaches, for as long as its watch is silent.

Change: two instances of each failure domain ask the leader five times a second whether its last renewal succeeded. After three calls in a row without a yes, with nothing seen that it wrote, they end its lease, whose number stands in the value of its key. A successor counts 1 s more when it waits for leases of workers that it has never reached.

--- a/board/board.go
+++ b/board/board.go
@@ -116,6 +116,10 @@
 	// last leader that was seen; 0 before.
 	held       map[string]heldEnd
 	leaderTerm uint64
+	// leader is the value of the leader's key; "" if there is none. progressCount is the number of
+	// changes of progress that were seen, which only leaders write.
+	leader        string
+	progressCount uint64
 	// watchers are called with the views of new and newly cancelled jobs. onDecodeError is
 	// called for values that can't be decoded.
 	watchers      []func(View)
@@ -144,11 +148,12 @@
 func (b *Board) Replace(entries []kv.Entry) (hasLeader bool) {
 	b.mu.Lock()
 	previousJobs := b.jobs
-	b.jobs = make(map[string]*View, len(entries)/2)
+	b.jobs, b.leader = make(map[string]*View, len(entries)/2), ""
 	var updates []View
 	for _, e := range entries {
 		if e.Key == LeaderKey {
-			hasLeader, b.leaderTerm = true, max(b.leaderTerm, e.Version)
+			hasLeader = true
+			b.updateLeader(e)
 			continue
 		}
 		b.update(e)
@@ -174,7 +179,9 @@
 		if c.Key == LeaderKey {
 			leaderChanged, hasLeader = true, !c.Deleted
 			if hasLeader {
-				b.leaderTerm = max(b.leaderTerm, c.Version)
+				b.updateLeader(c.Entry)
+			} else {
+				b.leader = ""
 			}
 			continue
 		}
@@ -235,6 +242,9 @@
 			b.onDecodeError(e.Key, err)
 			return nil
 		}
+		if e.Version > v.Version {
+			b.progressCount++
+		}
 		v.Progress, v.Version = p, e.Version
 		if p.State.Final() {
 			delete(b.held, id)
--- a/board/held.go
+++ b/board/held.go
@@ -35,14 +35,6 @@
 	return changed
 }
 
-// LeaderTerm returns the term of the last leader that this instance has seen in the store; 0 before
-// the first.
-func (b *Board) LeaderTerm() uint64 {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	return b.leaderTerm
-}
-
 // withHeld returns a copy of a view with the end that is held for its job, if there is one.
 func (b *Board) withHeld(v *View) View {
 	view := *v
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -77,6 +77,9 @@
 	Decode func(key string, raw []byte) (agent.Worker, error)
 	// Term returns the current term, and whether this instance certainly still leads.
 	Term func() (uint64, bool)
+	// LeaderTTL is how long in milliseconds an earlier leader may go on believing that it leads after
+	// this one was elected; 0 means that it does not.
+	LeaderTTL clock.Millis
 	// PageTimeout is the timeout in milliseconds for reading one page of the jobs' keys; 0
 	// means storeTimeout.
 	PageTimeout clock.Millis
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -237,8 +237,8 @@
 // is left there.
 func (c *Controller) leasesExpired(n *node, now clock.Millis) bool {
 	if n.clockReadAt == 0 {
-		// The previous leader may have renewed the lease until this leader's term began.
-		return now-c.leadingSince > clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag))+leaseExpiryMargin
+		// The previous leader may have renewed the lease until it noticed that its term was over.
+		return now-c.leadingSince-c.opts.LeaderTTL > clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag))+leaseExpiryMargin
 	}
 	return n.estimatedClock(now, 1-maxClockLag) > n.leasedUntil+leaseExpiryMargin
 }
--- a/election/election.go
+++ b/election/election.go
@@ -14,6 +14,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -81,6 +83,15 @@
 	lease uint64
 	// leaseEnd is the earliest time in milliseconds at which the lease may end at the store.
 	leaseEnd clock.Millis
+	// renewalFailed is set while the last renewal of the lease has failed.
+	renewalFailed bool
+}
+
+// ParseHolder returns the name and the lease of the leader from the value of its key.
+func ParseHolder(value string) (name string, lease uint64, ok bool) {
+	name, text, found := strings.Cut(value, "/")
+	lease, err := strconv.ParseUint(text, 10, 64)
+	return name, lease, found && err == nil
 }
 
 // New starts a candidate that takes part in elections until Resign.
@@ -102,6 +113,26 @@
 	return e.term, e.term != 0 && e.opts.Clock.Now() < e.leaseEnd-leaseMargin
 }
 
+// IsRenewing reports whether this instance leads in a term and its last renewal of the lease has
+// succeeded. A leader of which that is not true is about to lose the leadership.
+func (e *Election) IsRenewing(term uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term == term && term != 0 && !e.renewalFailed && e.opts.Clock.Now() < e.leaseEnd-leaseMargin
+}
+
+// Depose ends the lease of another leader that has failed, so that its key is vacant at once. The
+// leader itself may go on believing that it leads until its TTL has passed.
+func (e *Election) Depose(ctx context.Context, lease uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	err := e.opts.Store.Revoke(ctx, lease)
+	if kv.KindOf(err) == kv.Missing {
+		return nil
+	}
+	return err
+}
+
 // Observe informs the candidate whether the leader's key is vacant, that is, does not exist.
 func (e *Election) Observe(vacant bool) {
 	e.vacant.Store(vacant)
@@ -175,7 +206,7 @@
 	}
 	// The ID of the lease makes the value unique. If the write gets no answer, reading the key shows
 	// whether this instance wrote it.
-	value := []byte(e.opts.Name + "/" + clock.Millis(lease).String())
+	value := []byte(e.opts.Name + "/" + strconv.FormatUint(lease, 10))
 	term, err := e.opts.Store.Commit(ctx, []kv.Op{{Key: e.opts.Key, Value: value, Lease: lease}})
 	switch kv.KindOf(err) {
 	case kv.OK:
@@ -193,7 +224,7 @@
 		return err
 	}
 	e.mu.Lock()
-	e.term, e.lease, e.leaseEnd = term, lease, start+ttl
+	e.term, e.lease, e.leaseEnd, e.renewalFailed = term, lease, start+ttl, false
 	e.mu.Unlock()
 	e.opts.Log.WithFields(logrus.Fields{"term": term, "took_ms": int64(e.opts.Clock.Now() - start)}).Info("election: elected")
 	e.opts.OnElected(term)
@@ -207,6 +238,7 @@
 	err := e.opts.Store.Renew(ctx, e.lease)
 	e.mu.Lock()
 	overdue := start-e.leaseEnd > 0
+	e.renewalFailed = err != nil
 	switch {
 	case err == nil:
 		e.leaseEnd = start + e.opts.TTL
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -66,6 +66,49 @@
 		}()
 	}
 
+	It("has another leader at once after the lease of the first was ended, which the first learns", func() {
+		a := newCandidate("a", 0)
+		observe(a)
+		Eventually(holdsLease(a), 2*time.Second).Should(BeTrue())
+		term, _ := a.Term()
+		Expect(a.IsRenewing(term)).To(BeTrue())
+		Expect(a.IsRenewing(term + 1)).To(BeFalse())
+		name, lease, ok := election.ParseHolder(string(store.Value(key)))
+		Expect(ok).To(BeTrue())
+		Expect(name).To(Equal("a"))
+		b := newCandidate("b", 0)
+		Expect(b.Depose(context.Background(), lease)).To(Succeed())
+		Expect(b.Depose(context.Background(), lease)).To(Succeed(), "ending it twice is no error")
+		b.Observe(true)
+		Eventually(holdsLease(b), time.Second).Should(BeTrue())
+		Eventually(a.lost.Load, time.Second).Should(BeEquivalentTo(1))
+	})
+
+	It("is not renewing while its renewals fail, although its lease still lasts", func() {
+		a := newCandidate("a", 0)
+		observe(a)
+		Eventually(holdsLease(a), 2*time.Second).Should(BeTrue())
+		term, _ := a.Term()
+		store.SetFaults(func(f *platformtest.Faults) { f.Down = true })
+		Eventually(func() bool { return a.IsRenewing(term) }, 2*time.Second, time.Millisecond).Should(BeFalse())
+		Expect(holdsLease(a)()).To(BeTrue())
+	})
+
+	DescribeTable("reads the leader's name and lease from the value of its key",
+		func(value, name string, lease int, ok bool) {
+			gotName, gotLease, gotOK := election.ParseHolder(value)
+			Expect(gotOK).To(Equal(ok))
+			if ok {
+				Expect(gotName).To(Equal(name))
+				Expect(gotLease).To(BeEquivalentTo(lease))
+			}
+		},
+		Entry("whole", "e1/174", "e1", 174, true),
+		Entry("of an earlier version", "e1/48h3m", "", 0, false),
+		Entry("without a lease", "e1", "", 0, false),
+		Entry("empty", "", "", 0, false),
+	)
+
 	It("has one leader, and another with a higher term after it has resigned", func() {
 		a, b := newCandidate("a", 0), newCandidate("b", 0)
 		observe(a)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"github.com/chestnutsail/chestnutsail/counters"
 	"github.com/chestnutsail/chestnutsail/election"
 	"github.com/chestnutsail/chestnutsail/health"
+	"github.com/chestnutsail/chestnutsail/heartbeat"
 	"github.com/chestnutsail/chestnutsail/intake"
 	"github.com/chestnutsail/chestnutsail/kernel"
 	"github.com/chestnutsail/chestnutsail/kv"
@@ -173,6 +174,7 @@
 	if address := i.peerAddress(); address != "" {
 		mux := http.NewServeMux()
 		mux.Handle("POST "+witness.Path, i.witness)
+		mux.Handle("GET "+heartbeat.Path, heartbeat.NewHandler(i.election.IsRenewing))
 		mux.Handle("/", peers)
 		if err := i.listenAndServe(address, mux); err != nil {
 			return err
@@ -221,7 +223,7 @@
 		Store: store, Workers: platform.NewWorkerClient(), Board: i.board, PageTimeout: pageTimeout(s),
 		Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.election.Term, Config: i.config.Load, SinceStoreChange: func() clock.Millis { return i.jobMirror.SinceChange() },
-		Limits: i.limits, ShareEnds: i.witness.Share,
+		Limits: i.limits, LeaderTTL: election.DefaultTTL, ShareEnds: i.witness.Share,
 		Clock: i.clock, Counters: i.counters, Log: log,
 	})
 	i.jobMirror = mirror.New(mirror.Options{
@@ -242,6 +244,10 @@
 		OnRetry: i.counters.Counter(controller.RetriesMetric("acceptance")).Inc, Clock: i.clock, Log: log,
 	})
 	i.kernel.Add("roster", i.roster)
+	i.kernel.Add("heartbeat", heartbeat.New(heartbeat.Options{
+		Leader: i.leader, Watches: i.watchesLeader, Reachable: i.storeHealth.OK, Progress: i.board.ProgressCount,
+		Client: platform.NewPeerClient(), OnFailed: i.depose, Clock: i.clock, Log: log,
+	}))
 	i.kernel.Add("controller", jobController)
 	i.kernel.Add("jobs", i.jobMirror)
 	i.kernel.Add("desk", i.intakeHandler)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"context"
 	"net"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/chestnutsail/chestnutsail/election"
+	"github.com/chestnutsail/chestnutsail/heartbeat"
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/site"
@@ -59,3 +62,42 @@
 		i.applyConfig([]kv.Entry{{Key: platform.ConfigKey, Value: raw}})
 	}
 }
+
+// watchersPerDomain is the number of instances of each failure domain that watch the leader. One of
+// them may fail together with the leader.
+const watchersPerDomain = 2
+
+// leader returns the leader if it is another instance whose address is known.
+func (i *Instance) leader() (heartbeat.Leader, bool) {
+	value, term := i.board.Leader()
+	name, lease, ok := election.ParseHolder(value)
+	if !ok || name == i.opts.Settings.Name {
+		return heartbeat.Leader{}, false
+	}
+	instance, ok := i.roster.Find(name)
+	return heartbeat.Leader{Address: instance.Address, Term: term, Lease: lease}, ok
+}
+
+// watchesLeader reports whether this instance is one of those of its failure domain that watch the
+// leader: those with the lowest addresses.
+func (i *Instance) watchesLeader() bool {
+	leader, _ := i.leader()
+	before := 0
+	for _, other := range i.roster.Others() {
+		if other.Domain == i.opts.Settings.Domain && other.Address != leader.Address && other.Address < i.peerAddress() {
+			before++
+		}
+	}
+	return i.peerAddress() != "" && before < watchersPerDomain
+}
+
+// depose ends the lease of a leader that has failed, so that another one can be elected at once.
+func (i *Instance) depose(l heartbeat.Leader) {
+	log := i.opts.Log.WithField("term", l.Term)
+	i.counters.Counter("chestnutsail_leaders_deposed_total").Inc()
+	if err := i.election.Depose(context.Background(), l.Lease); err != nil {
+		log.WithError(err).Warn("election: the lease of a failed leader was not ended; it expires")
+		return
+	}
+	log.Info("election: lease of a failed leader ended")
+}
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -12,7 +12,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"github.com/chestnutsail/chestnutsail/board"
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/counters"
+	"github.com/chestnutsail/chestnutsail/election"
 	"github.com/chestnutsail/chestnutsail/fleet"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
@@ -66,9 +69,15 @@
 	}
 }
 
-// startInstance starts an instance in a failure domain with a port for the calls of others. The
-// instance is stopped at the end of the spec.
-func startInstance(name, domain, store string) (platform.Settings, *fleet.Instance) {
+// member is an instance with a port for the calls of others.
+type member struct {
+	*fleet.Instance
+	settings platform.Settings
+	counters *counters.Counters
+}
+
+// startInstance starts an instance in a failure domain. It is stopped at the end of the spec.
+func startInstance(name, domain, store string) member {
 	GinkgoHelper()
 	_, port, err := net.SplitHostPort(freeAddress())
 	Expect(err).NotTo(HaveOccurred())
@@ -81,11 +90,18 @@
 	}
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
-	instance := fleet.New(fleet.Options{Settings: s, Log: log.WithField("instance", name)})
+	m := member{settings: s, counters: counters.New()}
+	m.Instance = fleet.New(fleet.Options{Settings: s, Counters: m.counters, Log: log.WithField("instance", name)})
 	ctx := context.Background()
-	Expect(instance.Start(ctx)).To(Succeed())
-	DeferCleanup(func() { _ = instance.Stop(ctx) })
-	return s, instance
+	Expect(m.Start(ctx)).To(Succeed())
+	DeferCleanup(func() { _ = m.Stop(ctx) })
+	return m
+}
+
+// leaderName returns the name of the leader, or "" if there is none.
+func leaderName(store *platformtest.Store) string {
+	name, _, _ := election.ParseHolder(string(store.Value(board.LeaderKey)))
+	return name
 }
 
 // Guards against callers that are refused, or answered by an old configuration, by an instance that
@@ -95,8 +111,7 @@
 	ctx := context.Background()
 	caller := platformtest.NewCaller(2 * time.Second)
 	start := func(name, store string) platform.Settings {
-		s, _ := startInstance(name, "a", store)
-		return s
+		return startInstance(name, "a", store).settings
 	}
 
 	// Guards against an instance that does not start because metrics and peers share the only port.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -58,6 +58,7 @@
 
 // Instance is a registered instance. Domain is its failure domain; "" if it did not register one.
 type Instance struct {
+	Name    string
 	Address string
 	Domain  string
 }
@@ -70,13 +71,19 @@
 
 	mu sync.Mutex
 	// instances holds the registered instances by key.
-	instances map[string]Instance
+	instances map[string]registration
+}
+
+// registration is an instance and the version of its key.
+type registration struct {
+	Instance
+	version uint64
 }
 
 // New starts to register the instance and to keep it registered until Stop.
 func New(opts Options) *Roster {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Roster{opts: opts, cancel: cancel, instances: make(map[string]Instance)}
+	r := &Roster{opts: opts, cancel: cancel, instances: make(map[string]registration)}
 	if opts.Address != "" {
 		r.running.Go(func() { r.keepRegistered(ctx) })
 	}
@@ -116,20 +123,22 @@
 
 func (r *Roster) add(e kv.Entry) {
 	if path, ok := strings.CutPrefix(e.Key, r.opts.Prefix); ok {
-		r.instances[e.Key] = Instance{Address: string(e.Value), Domain: domainOf(path)}
+		i := parsePath(path)
+		i.Address = string(e.Value)
+		r.instances[e.Key] = registration{i, e.Version}
 	}
 }
 
-// keyParts is the number of parts of a key after the prefix: the failure domain, the name and the
-// lease. Keys of earlier versions have no failure domain.
-const keyParts = 3
-
-func domainOf(path string) string {
-	parts := strings.Split(path, "/")
-	if len(parts) < keyParts {
-		return ""
+// parsePath returns the failure domain and the name in a key after the prefix. The lease follows
+// them. Keys of earlier versions have no failure domain.
+func parsePath(path string) Instance {
+	switch parts := strings.Split(path, "/"); len(parts) {
+	case 3:
+		return Instance{Domain: parts[0], Name: parts[1]}
+	case 2:
+		return Instance{Name: parts[0]}
 	}
-	return parts[0]
+	return Instance{}
 }
 
 // Others returns the other instances, sorted by address.
@@ -139,15 +148,28 @@
 	var others []Instance
 	for _, i := range r.instances {
 		if i.Address != r.opts.Address {
-			others = append(others, i)
+			others = append(others, i.Instance)
 		}
 	}
 	slices.SortFunc(others, func(a, b Instance) int {
-		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Domain, b.Domain))
+		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Name, b.Name))
 	})
 	return slices.Compact(others)
 }
 
+// Find returns the instance of a name that registered last.
+func (r *Roster) Find(name string) (Instance, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last registration
+	for _, i := range r.instances {
+		if i.Name == name && i.version >= last.version {
+			last = i
+		}
+	}
+	return last.Instance, last.Name != ""
+}
+
 // Peers returns the addresses of the other instances, sorted.
 func (r *Roster) Peers() []string {
 	var peers []string
--- a/witness/handler.go
+++ b/witness/handler.go
@@ -49,7 +49,8 @@
 		http.Error(rw, "message not understood", http.StatusBadRequest)
 		return
 	}
-	reachable, newest := w.opts.Reachable(), w.opts.Board.LeaderTerm()
+	reachable := w.opts.Reachable()
+	_, newest := w.opts.Board.Leader()
 	if !m.Shown && (reachable || newest > m.Term) {
 		http.Error(rw, "the store is reachable, or there is a later leader", http.StatusConflict)
 		return
