roster, fleet: let candidates wait by their strength against the strongest

Cause: on an installation whose instances are all alike, each waited 250 ms before it stood in an election, because it has half of the processor that a leader of hundreds of workers should have. The delay is there for stronger instances to win; with none there, it only kept the place empty.

Change: instances register their strength as a part of their key, and wait by what the strongest of the others has more than they. Keys of earlier versions are read as of strength 0.

Tests: roster "tells the failure domain and the strength".

--- a/election/election.go
+++ b/election/election.go
@@ -58,9 +58,9 @@
 	// TTL is the time in milliseconds after the last renewal until the key expires; 0 means
 	// DefaultTTL.
 	TTL clock.Millis
-	// Delay is the time in milliseconds that this instance waits before it tries to write a
-	// vacant key. Instances that are less suited to lead have a longer delay.
-	Delay clock.Millis
+	// Delay returns the time in milliseconds that this instance waits before it tries to write a
+	// vacant key; nil means none. Instances that are less suited to lead have a longer delay.
+	Delay func() clock.Millis
 	// OnElected is called with the term when this instance has been elected, and OnLost when it
 	// no longer leads. The calls never overlap, and they must not block.
 	OnElected func(term uint64)
@@ -99,6 +99,9 @@
 	if opts.TTL == 0 {
 		opts.TTL = DefaultTTL
 	}
+	if opts.Delay == nil {
+		opts.Delay = func() clock.Millis { return 0 }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Election{opts: opts, cancel: cancel, wake: make(chan struct{}, 1)}
 	e.running.Go(func() { e.run(ctx) })
@@ -178,7 +181,7 @@
 			return
 		case <-e.wake:
 		}
-		if !clock.Sleep(ctx, e.opts.Delay+rand.N(maxJitter)) || !e.vacant.Load() {
+		if !clock.Sleep(ctx, e.opts.Delay()+rand.N(maxJitter)) || !e.vacant.Load() {
 			continue
 		}
 		if err := e.campaign(ctx); err != nil && ctx.Err() == nil {
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -39,7 +39,7 @@
 		log.SetOutput(GinkgoWriter)
 		c := &candidate{}
 		c.Election = election.New(election.Options{
-			Store: platform.NewStore(platform.StoreOptions{Address: store.Address()}), Key: key, Name: name, Delay: delay,
+			Store: platform.NewStore(platform.StoreOptions{Address: store.Address()}), Key: key, Name: name, Delay: func() clock.Millis { return delay },
 			TTL: 500 * clock.Millisecond, Clock: clock.New(), Log: logrus.NewEntry(log),
 			OnElected: func(uint64) { c.elected.Add(1) }, OnLost: func() { c.lost.Add(1) },
 		})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,12 +52,6 @@
 	followerWatchInterval = 200 * clock.Millisecond
 	// instancesPrefix is the prefix of the keys under which the instances register.
 	instancesPrefix = board.Prefix + "i/"
-	// leaderCores (processor cores) and leaderLinkSpeed (megabits per second) are what a leader of several
-	// hundred workers needs. maxCandidacyDelay is the longest time in milliseconds for which an instance
-	// with less waits in an election, so that stronger instances can win it.
-	leaderCores       = 0.8
-	leaderLinkSpeed   = 200.0
-	maxCandidacyDelay = 500 * clock.Millisecond
 	// headerTimeout bounds the reading of a request's header, idleTimeout the time for which a connection
 	// stays open without a request; both are in milliseconds.
 	headerTimeout = 5 * clock.Second
@@ -208,11 +202,11 @@
 	})
 	i.kernel.Add("config", i.configMirror)
 	var jobController *controller.Controller
+	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Domain: s.Domain, Strength: strength(s), Address: i.peerAddress(), Clock: i.clock, Log: log})
 	i.election = election.New(election.Options{
-		Store: store, Key: board.LeaderKey, Name: s.Name, Delay: candidacyDelay(s), Clock: i.clock, Log: log,
+		Store: store, Key: board.LeaderKey, Name: s.Name, Delay: i.candidacyDelay, Clock: i.clock, Log: log,
 		OnElected: func(term uint64) { jobController.StartLeading(term) }, OnLost: func() { jobController.StopLeading() },
 	})
-	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Domain: s.Domain, Address: i.peerAddress(), Clock: i.clock, Log: log})
 	i.witness = witness.New(witness.Options{
 		Board: i.board, Others: i.roster.Others, Domain: s.Domain, Reachable: i.storeHealth.OK, Client: platform.NewPeerClient(), Log: log,
 		OnOutcome: func(o witness.Outcome) {
@@ -286,14 +280,6 @@
 	return mirror.DefaultTimeout + clock.Millis(2*pageMegabits/s.LinkSpeed*float64(clock.Second))
 }
 
-// candidacyDelay returns how long in milliseconds an instance waits before it stands in an election. The
-// leader sends the orders to all workers of the installation and polls them, which needs processor time
-// and network bandwidth; so the delay is longer the less of them the instance has.
-func candidacyDelay(s platform.Settings) clock.Millis {
-	strength := min(s.Cores/leaderCores, s.LinkSpeed/leaderLinkSpeed, 1)
-	return clock.Millis(float64(maxCandidacyDelay) * (1 - strength))
-}
-
 func (i *Instance) watchInterval() clock.Millis {
 	if _, leads := i.election.Term(); leads {
 		return leaderWatchInterval
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/election"
 	"github.com/chestnutsail/chestnutsail/heartbeat"
 	"github.com/chestnutsail/chestnutsail/kv"
@@ -14,6 +15,20 @@
 	"github.com/chestnutsail/chestnutsail/site"
 )
 
+const (
+	// leaderCores (processor cores) and leaderLinkSpeed (megabits per second) are what a leader of several
+	// hundred workers needs. maxCandidacyDelay is the longest time in milliseconds for which an instance
+	// with less waits in an election, so that stronger instances can win it.
+	leaderCores       = 0.8
+	leaderLinkSpeed   = 200.0
+	maxCandidacyDelay = 500 * clock.Millisecond
+	// fullStrength is the strength of an instance with what a leader needs.
+	fullStrength = 100
+	// watchersPerDomain is the number of instances of each failure domain that watch the leader. One of
+	// them may fail together with the leader.
+	watchersPerDomain = 2
+)
+
 // storedConfig is a configuration as the store holds it.
 type storedConfig struct {
 	version int64
@@ -63,9 +78,23 @@
 	}
 }
 
-// watchersPerDomain is the number of instances of each failure domain that watch the leader. One of
-// them may fail together with the leader.
-const watchersPerDomain = 2
+// strength returns from 0 to fullStrength how well an instance is suited to lead. The leader sends
+// the orders to all workers of the installation and polls them, which needs processor time and
+// network bandwidth.
+func strength(s platform.Settings) int {
+	return int(fullStrength * min(s.Cores/leaderCores, s.LinkSpeed/leaderLinkSpeed, 1))
+}
+
+// candidacyDelay returns how long in milliseconds this instance waits before it stands in an
+// election. The delay is longer the weaker it is than the strongest of the others.
+func (i *Instance) candidacyDelay() clock.Millis {
+	own := strength(i.opts.Settings)
+	strongest := own
+	for _, other := range i.roster.Others() {
+		strongest = max(strongest, other.Strength)
+	}
+	return maxCandidacyDelay * clock.Millis(strongest-own) / fullStrength
+}
 
 // leader returns the leader if it is another instance whose address is known.
 func (i *Instance) leader() (heartbeat.Leader, bool) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,6 +16,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -48,19 +49,23 @@
 	// Prefix is the prefix of the instances' keys.
 	Prefix string
 	// Name is the unique name of this instance, and Address the address that it registers; ""
-	// registers nothing. Domain is its failure domain.
-	Name    string
-	Address string
-	Domain  string
-	Clock   *clock.Clock
-	Log     *logrus.Entry
+	// registers nothing. Domain is its failure domain, and Strength tells from 0 to 100 how well
+	// it is suited to lead.
+	Name     string
+	Address  string
+	Domain   string
+	Strength int
+	Clock    *clock.Clock
+	Log      *logrus.Entry
 }
 
 // Instance is a registered instance. Domain is its failure domain; "" if it did not register one.
+// Strength tells from 0 to 100 how well it is suited to lead.
 type Instance struct {
-	Name    string
-	Address string
-	Domain  string
+	Name     string
+	Address  string
+	Domain   string
+	Strength int
 }
 
 // Roster registers one instance and knows the others. It is safe for concurrent use.
@@ -129,12 +134,17 @@
 	}
 }
 
-// parsePath returns the failure domain and the name in a key after the prefix. The lease follows
-// them. Keys of earlier versions have no failure domain.
+// parsePath returns what a key after the prefix tells: the failure domain, the name and the strength
+// of the instance, followed by its lease. Keys of earlier versions have only the name and the lease.
 func parsePath(path string) Instance {
-	switch parts := strings.Split(path, "/"); len(parts) {
-	case 3:
-		return Instance{Domain: parts[0], Name: parts[1]}
+	parts := strings.Split(path, "/")
+	switch len(parts) {
+	case 4:
+		strength, err := strconv.Atoi(parts[2])
+		if err != nil {
+			return Instance{}
+		}
+		return Instance{Domain: parts[0], Name: parts[1], Strength: strength}
 	case 2:
 		return Instance{Name: parts[0]}
 	}
@@ -218,7 +228,7 @@
 	}
 	// The lease makes the key unique: the key of an earlier process of the same name may remain
 	// until its lease expires.
-	key := fmt.Sprintf("%s%s/%s/%d", r.opts.Prefix, r.opts.Domain, r.opts.Name, lease)
+	key := fmt.Sprintf("%s%s/%s/%d/%d", r.opts.Prefix, r.opts.Domain, r.opts.Name, r.opts.Strength, lease)
 	_, err = r.opts.Store.Commit(ctx, []kv.Op{{Key: key, Value: []byte(r.opts.Address), Lease: lease}})
 	if err != nil {
 		return 0, err
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -33,7 +33,7 @@
 	log.SetOutput(GinkgoWriter)
 	entry := log.WithField("instance", name)
 	client := platform.NewStore(platform.StoreOptions{Address: store.Address()})
-	m := &member{Roster: roster.New(roster.Options{Store: client, Prefix: prefix, Name: name, Address: address, Domain: "a", Clock: clock.New(), Log: entry})}
+	m := &member{Roster: roster.New(roster.Options{Store: client, Prefix: prefix, Name: name, Address: address, Domain: "a", Strength: 40, Clock: clock.New(), Log: entry})}
 	m.mirror = mirror.New(mirror.Options{Store: client, Prefix: "cs/", Replace: m.Replace, Apply: m.Apply, Clock: clock.New(), Log: entry})
 	DeferCleanup(func(ctx context.Context) {
 		_ = m.Stop(ctx)
@@ -49,6 +49,28 @@
 		DeferCleanup(store.Close)
 	})
 
+	It("tells the failure domain and the strength of instances, and of those that registered neither", func() {
+		a := join(store, "a", "10.0.0.1:7000")
+		join(store, "b", "10.0.0.2:7000")
+		store.Put(prefix+"old/17", []byte("10.0.0.3:7000"))
+		store.Put(prefix+"x/y/z", []byte("10.0.0.4:7000"))
+		Eventually(a.Others, 3*time.Second).Should(Equal([]roster.Instance{
+			{Name: "b", Address: "10.0.0.2:7000", Domain: "a", Strength: 40}, {Name: "old", Address: "10.0.0.3:7000"}, {Address: "10.0.0.4:7000"},
+		}))
+	})
+
+	It("finds the last registration of a name", func() {
+		a := join(store, "a", "10.0.0.1:7000")
+		store.Put(prefix+"d/b/0/9", []byte("10.0.0.2:7000"))
+		store.Put(prefix+"d/b/0/10", []byte("10.0.0.3:7000"))
+		Eventually(a.Others, 3*time.Second).Should(HaveLen(2))
+		found, ok := a.Find("b")
+		Expect(ok).To(BeTrue())
+		Expect(found.Address).To(Equal("10.0.0.3:7000"))
+		_, ok = a.Find("c")
+		Expect(ok).To(BeFalse())
+	})
+
 	It("lets instances find each other, and forgets those that leave", func() {
 		a, b := join(store, "a", "10.0.0.1:7000"), join(store, "b", "10.0.0.2:7000")
 		observer := join(store, "c", "")
