roster: remove a registration whose write got no answer

The instance was stopped while it waited for the answer to its registration; the write had taken effect, but its lease was forgotten, so the key stayed for 30 s. A lost answer leaves a second registration behind in the same way. Peers hand calls to such an instance and count it as one that may hold ends.

Ruled out: the test (the other instance had seen the key), the mirror.

Change: the lease of a registration that failed is ended at once.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -210,11 +210,16 @@
 		clock.Sleep(ctx, pause)
 	}
 	if lease != 0 {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
-		defer cancel()
-		if err := r.opts.Store.Revoke(ctx, lease); err != nil {
-			r.opts.Log.WithError(err).Info("roster: registration not removed; it expires")
-		}
+		r.revoke(ctx, lease)
+	}
+}
+
+// revoke ends a lease and so removes the key under it, also if ctx has ended.
+func (r *Roster) revoke(ctx context.Context, lease uint64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout.Duration())
+	defer cancel()
+	if err := r.opts.Store.Revoke(ctx, lease); err != nil {
+		r.opts.Log.WithError(err).Info("roster: registration not removed; it expires")
 	}
 }
 
@@ -231,6 +236,8 @@
 	key := fmt.Sprintf("%s%s/%s/%d/%d", r.opts.Prefix, r.opts.Domain, r.opts.Name, r.opts.Strength, lease)
 	_, err = r.opts.Store.Commit(ctx, []kv.Op{{Key: key, Value: []byte(r.opts.Address), Lease: lease}})
 	if err != nil {
+		// The write may have taken effect, or may do so while the lease lasts.
+		r.revoke(ctx, lease)
 		return 0, err
 	}
 	r.opts.Log.WithFields(logrus.Fields{"key": key, "address": r.opts.Address}).Info("roster: instance registered")
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -49,6 +49,18 @@
 		DeferCleanup(store.Close)
 	})
 
+	// Guards against a registration that remains although its instance has left, because the answer to
+	// the write was lost or the instance stopped while it waited for it.
+	It("forgets an instance whose registration got no answer at first", func() {
+		store.SetFaults(func(f *platformtest.Faults) { f.LostAnswers = 1 })
+		b := join(store, "b", "10.0.0.2:7000")
+		a := join(store, "a", "")
+		Eventually(store.AppliedTxns, 4*time.Second).Should(Equal(2), "it registered again")
+		Eventually(a.Peers, 3*time.Second).Should(HaveLen(1))
+		Expect(b.Stop(context.Background())).To(Succeed())
+		Eventually(a.Peers, 3*time.Second).Should(BeEmpty())
+	})
+
 	It("tells the failure domain and the strength of instances, and of those that registered neither", func() {
 		a := join(store, "a", "10.0.0.1:7000")
 		join(store, "b", "10.0.0.2:7000")
