controller: do not evict runs that their workers have not reported yet

A new leader counts a run that it knows from the store only as just begun.

Besides, the old leader, which did not know yet that it had been followed, ordered stops of runs that it did not know. The workers refused them by the fence.

Ruled out: failures of members (2,000 core-seconds), drained workers (13,000).

Change: a run that is inherited or unconfirmed makes its task or gang stay until the worker has reported it.

Test: an urgent job beside a gang over two workers, one of which does not answer the new leader; red before (2 evictions).

--- /dev/null
+++ b/controller/inherited_test.go
@@ -0,0 +1,52 @@
+package controller_test
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/intake"
+	"github.com/chestnutsail/chestnutsail/workflow"
+)
+
+// evictions returns the number of runs that the instance stopped for urgent work.
+func (i *instance) evictions() int {
+	n := 0
+	for _, e := range i.logs.AllEntries() {
+		if e.Message == "controller: stopping a run" && strings.Contains(e.Data["reason"].(string), "urgent work") {
+			n++
+		}
+	}
+	return n
+}
+
+// The load is an urgent job that waits at a change of the leader, beside a gang over two workers.
+// Guards against a new leader that takes a gang for one that has just begun, and evicts it, because
+// one of its workers has not reported yet.
+var _ = Describe("a new leader beside a gang that it knows in part", func() {
+	It("does not evict the gang before all its members are reported", func() {
+		c := newClusterWithLease(2, 8000)
+		first := c.startInstance(nil)
+		Eventually(first.isLeader, shortTimeout).Should(BeTrue())
+		wholeWorker := step(2)
+		wholeWorker.Gang, wholeWorker.Accels, wholeWorker.Estimate = true, 8, 6000
+		first.submit(jobID(1), workflow.Spec{Payload: "ms=6000", Steps: []workflow.Step{wholeWorker}})
+		Eventually(func() workflow.State { return first.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Running))
+		first.election.Resign(context.Background())
+
+		next := c.startInstance(func(h *hooks) { h.refusedWorkers["i-1"] = true })
+		Eventually(next.isLeader, shortTimeout).Should(BeTrue())
+		grant, refusal := next.handler.Admit(intake.Call{Host: "h", Path: "/u/" + jobID(2)})
+		Expect(refusal).To(BeNil())
+		urgent := step(1)
+		urgent.Gang, urgent.Accels, urgent.Estimate = true, 8, 3000
+		Expect(next.handler.Submit(context.Background(), grant, workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{urgent}}).Verdict).To(Equal(intake.OK))
+		Consistently(next.evictions, 300*time.Millisecond).Should(BeZero())
+		next.setRefused("i-1", false)
+		Eventually(next.evictions, shortTimeout).Should(BeNumerically(">", 0))
+		Eventually(func() workflow.State { return next.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
+	})
+})
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -310,6 +310,8 @@
 	for _, r := range runs {
 		work.Nodes = append(work.Nodes, snap.nodeIndex[r.node])
 		work.Loss += c.lostWork(r, now)
+		// What would be lost is not known before the worker has reported the run.
+		work.Pinned = work.Pinned || r.state == inherited || r.state == unconfirmed
 	}
 	snap.input.Running = append(snap.input.Running, work)
 	snap.runningWorkRuns = append(snap.runningWorkRuns, runs)
