election: renew the lease at fixed times, also while an answer is missing

Cause: found by reading, after the lease was shortened to 1 s: a renewal waits 900 ms for its answer, and the next one began 200 ms after that. One lost answer then ended the leader's trust in its lease, though the renewal had taken effect. With the lease of 1.5 s it took two.

Ruled out: shorter timeouts.

Change: a renewal begins every fifth of the TTL, with up to five in progress.

Test: every second answer to a renewal is lost for 2 s; red before.

--- a/election/election.go
+++ b/election/election.go
@@ -40,6 +40,8 @@
 	DefaultTTL = clock.Second
 	// renewalsPerTTL is the number of renewals in one TTL.
 	renewalsPerTTL = 5
+	// maxRenewals is the largest number of renewals in progress.
+	maxRenewals = 5
 	// callTimeout is the timeout of one call of the store.
 	callTimeout = 900 * clock.Millisecond
 	// maxJitter is the largest random delay of a candidate, so that not all candidates write
@@ -172,8 +174,7 @@
 func (e *Election) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if e.isLeader() {
-			e.renew(ctx)
-			clock.Sleep(ctx, e.opts.TTL/renewalsPerTTL)
+			e.lead(ctx)
 			continue
 		}
 		select {
@@ -234,28 +235,66 @@
 	return nil
 }
 
-func (e *Election) renew(ctx context.Context) {
+// renewal is the outcome of one renewal of the lease that began at start.
+type renewal struct {
+	start clock.Millis
+	err   error
+}
+
+// lead renews the lease until it has ended. Renewals begin at fixed times, also while earlier ones
+// are in progress: the answer to one may be lost, and the lease does not outlast the wait for it.
+func (e *Election) lead(ctx context.Context) {
+	ticker := clock.NewTicker(e.opts.TTL / renewalsPerTTL)
+	defer ticker.Stop()
+	outcomes := make(chan renewal, maxRenewals)
+	inProgress := 0
+	e.mu.Lock()
+	lease := e.lease
+	e.mu.Unlock()
+	for e.isLeader() {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-outcomes:
+			inProgress--
+			e.onRenewed(r)
+		case <-ticker.C:
+			if inProgress < maxRenewals {
+				inProgress++
+				e.running.Go(func() { outcomes <- e.renew(ctx, lease) })
+			}
+		}
+	}
+}
+
+func (e *Election) renew(ctx context.Context, lease uint64) renewal {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	start := e.opts.Clock.Now()
-	err := e.opts.Store.Renew(ctx, e.lease)
+	return renewal{start, e.opts.Store.Renew(ctx, lease)}
+}
+
+func (e *Election) onRenewed(r renewal) {
 	e.mu.Lock()
-	overdue := start-e.leaseEnd > 0
-	e.renewalFailed = err != nil
+	overdue := r.start > e.leaseEnd
 	switch {
-	case err == nil:
-		e.leaseEnd = start + e.opts.TTL
-	case kv.KindOf(err) == kv.Missing:
+	case r.err == nil:
+		e.renewalFailed = false
+		e.leaseEnd = max(e.leaseEnd, r.start+e.opts.TTL)
+	case kv.KindOf(r.err) == kv.Missing:
 		e.term = 0
+	default:
+		// Without an answer in time, later renewals that succeeded tell more.
+		e.renewalFailed = r.start+e.opts.TTL > e.leaseEnd
 	}
 	lost := e.term == 0
 	e.mu.Unlock()
 	switch {
 	case lost:
-		e.opts.Log.WithError(err).Warn("election: lease has expired; no longer leading")
+		e.opts.Log.WithError(r.err).Warn("election: lease has expired; no longer leading")
 		e.opts.OnLost()
-	case err != nil:
-		e.opts.Log.WithError(err).WithField("overdue", overdue).Warn("election: lease not renewed")
+	case r.err != nil:
+		e.opts.Log.WithError(r.err).WithField("overdue", overdue).Warn("election: lease not renewed")
 	case overdue:
 		e.opts.Log.Info("election: lease renewed after it was overdue")
 	}
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/election"
+	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 	"github.com/chestnutsail/chestnutsail/suite"
@@ -21,6 +22,21 @@
 
 const key = "lead"
 
+// losingStore loses every second answer to a renewal, which takes effect.
+type losingStore struct {
+	*platform.Store
+	renewals atomic.Int64
+}
+
+func (s *losingStore) Renew(ctx context.Context, lease uint64) error {
+	err := s.Store.Renew(ctx, lease)
+	if s.renewals.Add(1)%2 == 0 {
+		return err
+	}
+	<-ctx.Done()
+	return &kv.Error{Op: "renew", Kind: kv.Ambiguous, Err: ctx.Err()}
+}
+
 var _ = Describe("an election", func() {
 	var store *platformtest.Store
 
@@ -84,6 +100,23 @@
 		Eventually(a.lost.Load, time.Second).Should(BeEquivalentTo(1))
 	})
 
+	// Guards against a leader that loses the leadership because it waits for the answer to one renewal.
+	It("goes on leading while every second answer to a renewal is lost", func() {
+		log := logrus.New()
+		log.SetOutput(GinkgoWriter)
+		a := &candidate{}
+		a.Election = election.New(election.Options{
+			Store: &losingStore{Store: platform.NewStore(platform.StoreOptions{Address: store.Address()})}, Key: key, Name: "a",
+			TTL: 500 * clock.Millisecond, Clock: clock.New(), Log: logrus.NewEntry(log),
+			OnElected: func(uint64) { a.elected.Add(1) }, OnLost: func() { a.lost.Add(1) },
+		})
+		DeferCleanup(func(ctx context.Context) { a.Resign(ctx) })
+		observe(a)
+		Eventually(holdsLease(a), 2*time.Second).Should(BeTrue())
+		Consistently(holdsLease(a), 2*time.Second).Should(BeTrue())
+		Expect(a.lost.Load()).To(BeZero())
+	})
+
 	It("is not renewing while its renewals fail, although its lease still lasts", func() {
 		a := newCandidate("a", 0)
 		observe(a)
