--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,7 +19,9 @@
 
 // regressions holds seeds that failed in the past, each with the cause of its failure.
 // Every default run repeats them.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	7000: "the stand-in worker dated the end of a run to its next call, so a run that had lapsed seemed to overlap the next one",
+}
 
 // seeds returns the seeds to run. The environment variables CHESTNUTSAIL_SOAK, the first
 // seed, and CHESTNUTSAIL_SOAK_COUNT, the number of seeds, replace the default list.
