heartbeat: report a leader only if the store has answered since it failed

Two watchers in a failure domain that was cut off reported the leader, outside, as failed: their view that the store is reachable lasts 0.65 s after its last answer, and three calls to the leader fail in 0.4 s. Their requests to end its lease were refused there; held up by another kind of cut they could be carried out after it, and a sound leader would lose its lease.

Ruled out: the change of leader 2.5 s later, a planned stop.

Change: the store must have answered the watcher after the first call that failed. A probe answers every 0.25 s, so a sound watcher reports no later than before.

Test: a watcher that is cut off from the leader and from the store at once, red before; the case replaces the one of a store that is known to be unreachable, which it includes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -239,7 +239,7 @@
 	})
 	i.kernel.Add("roster", i.roster)
 	i.kernel.Add("heartbeat", heartbeat.New(heartbeat.Options{
-		Leader: i.leader, Watches: i.watchesLeader, Reachable: i.storeHealth.OK, Progress: i.board.ProgressCount,
+		Leader: i.leader, Watches: i.watchesLeader, StoreAnsweredAt: i.storeHealth.LastSuccess, Progress: i.board.ProgressCount,
 		Client: platform.NewPeerClient(), OnFailed: i.depose, Clock: i.clock, Log: log,
 	}))
 	i.kernel.Add("controller", jobController)
--- a/health/health.go
+++ b/health/health.go
@@ -80,6 +80,9 @@
 // OK reports whether the dependency is reachable.
 func (m *Monitor) OK() bool { return m.reachable.Load() }
 
+// LastSuccess returns the time in milliseconds of the last successful probe; 0 before the first.
+func (m *Monitor) LastSuccess() clock.Millis { return clock.Millis(m.lastSuccess.Load()) }
+
 func (m *Monitor) run(ctx context.Context) {
 	ticker := clock.NewTicker(m.opts.Period)
 	defer ticker.Stop()
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -5,11 +5,11 @@
 // out, as they do when a lease has lapsed.
 //
 // A leader that is only slow to answer must not be taken for failed. So several calls in a row have to
-// fail, and nothing that it writes may have been seen meanwhile.
+// fail, nothing that it writes may have been seen meanwhile, and the store must have answered since.
 //
 // # Usage
 //
-//	m := heartbeat.New(heartbeat.Options{Leader: leader, Watches: watches, Reachable: health.OK, Progress: b.ProgressCount, Client: client, OnFailed: depose, Clock: c, Log: log})
+//	m := heartbeat.New(heartbeat.Options{Leader: leader, Watches: watches, StoreAnsweredAt: health.LastSuccess, Progress: b.ProgressCount, Client: client, OnFailed: depose, Clock: c, Log: log})
 //	mux.Handle("GET "+heartbeat.Path, heartbeat.NewHandler(election.IsRenewing))
 //	m.Stop(ctx)
 package heartbeat
@@ -53,8 +53,9 @@
 	Leader func() (Leader, bool)
 	// Watches reports whether this instance is one of those that watch the leader.
 	Watches func() bool
-	// Reachable reports whether the store is reachable. Without it, no leader could follow.
-	Reachable func() bool
+	// StoreAnsweredAt returns when the store last answered this instance, in milliseconds by Clock. An
+	// instance that the store does not answer may be cut off itself, and the leader sound.
+	StoreAnsweredAt func() clock.Millis
 	// Progress returns the number of writes of leaders that were seen.
 	Progress func() uint64
 	// Client makes the calls.
@@ -72,12 +73,13 @@
 	running sync.WaitGroup
 
 	// Only the goroutine that watches uses the fields below. failures is the number of calls to
-	// leader that failed in a row. progress is the last value of Progress, progressAt when it
+	// leader that failed in a row, failingSince when the first of them did. progress is the last value of Progress, progressAt when it
 	// changed.
-	leader     Leader
-	failures   int
-	progress   uint64
-	progressAt clock.Millis
+	leader       Leader
+	failures     int
+	failingSince clock.Millis
+	progress     uint64
+	progressAt   clock.Millis
 }
 
 // New starts a monitor.
@@ -126,9 +128,13 @@
 		m.failures = 0
 		return false
 	}
+	now := m.opts.Clock.Now()
+	if m.failures == 0 {
+		m.failingSince = now
+	}
 	m.failures++
-	silentFor := m.opts.Clock.Now() - m.progressAt
-	if m.failures < maxFailures || silentFor < (maxFailures-1)*period || !m.opts.Reachable() {
+	silentFor := now - m.progressAt
+	if m.failures < maxFailures || silentFor < (maxFailures-1)*period || m.opts.StoreAnsweredAt() <= m.failingSince {
 		return false
 	}
 	m.opts.Log.WithError(err).WithFields(logrus.Fields{"term": leader.Term, "failures": m.failures, "progress_ms_ago": int64(silentFor)}).Warn("heartbeat: the leader has failed")
--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -27,10 +27,20 @@
 	progress                   atomic.Uint64
 	term                       atomic.Uint64
 	address                    string
+	clock                      *clock.Clock
+	// cutOffAt is when the store last answered, in milliseconds, if unreachable is set.
+	cutOffAt atomic.Int64
+}
+
+func (w *watched) storeAnsweredAt() clock.Millis {
+	if w.unreachable.Load() {
+		return clock.Millis(w.cutOffAt.Load())
+	}
+	return w.clock.Now()
 }
 
 func watch() *watched {
-	w := &watched{}
+	w := &watched{clock: clock.New()}
 	w.renews.Store(true)
 	w.term.Store(7)
 	handler := heartbeat.NewHandler(func(term uint64) bool { return term == 7 && w.renews.Load() })
@@ -46,14 +56,14 @@
 		Leader: func() (heartbeat.Leader, bool) {
 			return heartbeat.Leader{Address: w.address, Term: w.term.Load(), Lease: 3}, true
 		},
-		Watches: func() bool { return !w.unwatched.Load() }, Reachable: func() bool { return !w.unreachable.Load() }, Progress: w.progress.Load,
+		Watches: func() bool { return !w.unwatched.Load() }, StoreAnsweredAt: w.storeAnsweredAt, Progress: w.progress.Load,
 		Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		OnFailed: func(l heartbeat.Leader) {
 			if l.Lease == 3 {
 				w.failed.Add(1)
 			}
 		},
-		Clock: clock.New(), Log: logrus.NewEntry(log),
+		Clock: w.clock, Log: logrus.NewEntry(log),
 	})
 	DeferCleanup(func(ctx context.Context) {
 		_ = m.Stop(ctx)
@@ -83,7 +93,8 @@
 			Consistently(w.failed.Load, 1500*time.Millisecond).Should(BeZero())
 		},
 		Entry("that renews its lease", func(*watched) {}),
-		Entry("whose store is not reachable here either", func(w *watched) {
+		Entry("from which this instance is cut off as from the store, which is noticed later", func(w *watched) {
+			w.cutOffAt.Store(int64(w.clock.Now()))
 			w.unreachable.Store(true)
 			w.renews.Store(false)
 		}),
