--- a/controller/ends.go
+++ b/controller/ends.go
@@ -57,7 +57,7 @@
 	term, worker := c.term, n.worker
 	request := agent.Renewal{Fence: term, Acked: n.ackedEnd, Wait: readWait}
 	if len(n.unackedEnds) > 0 {
-		// The worker would answer at once with the same ends.
+		// The worker answers at once as long as ends are not acknowledged.
 		request.Wait = 0
 	}
 	c.opts.Counters.Counter("chestnutsail_worker_looks_total").Inc()
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -73,8 +73,8 @@
 	running sync.WaitGroup
 
 	// Only the goroutine that watches uses the fields below. failures is the number of calls to
-	// leader that failed in a row, failingSince when the first of them did. progress is the last value of Progress, progressAt when it
-	// changed.
+	// leader that failed in a row, failingSince when the first of them did. progress is the last
+	// value of Progress, progressAt when it changed.
 	leader       Leader
 	failures     int
 	failingSince clock.Millis
