explain: tell runs of one job on one worker apart

Cause: found on reading the diff. A line about a stop or an end was taken for the first open run of its job, worker and number, so with several tasks on one worker all stops fell on one run, and the others counted as "lost otherwise".

Change: the first line that names a task binds it to a run of the placement.

Test: three tasks of one job on one worker, two of them evicted, red before.

--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -84,6 +84,18 @@
 		Entry("a job that ran beside a run that was lost", explain.RanLong, 0, 0, 5000, accepted(0), placed(0, 1, `"a","b"`), ended(1000, 1, "b", "failed"), ended(5000, 1, "a", "done"), over(5000, 5000)),
 	)
 
+	// Guards against runs of one job on one worker that are taken for each other.
+	It("tells the runs of one job on one worker apart by their tasks", func() {
+		stop := func(task int) string {
+			return fmt.Sprintf(`{"time":"12:00:00.500","msg":"controller: stopping a run","task":"%s.0.0.%d","run":1,"worker":"a","reason":"urgent work takes its room"}`, id, task)
+		}
+		end := func(task int) string {
+			return fmt.Sprintf(`{"job":%q,"time":"12:00:00.600","msg":"controller: run has ended","task":"%s.0.0.%d","run":1,"worker":"a","how":"stopped"}`, id, id, task)
+		}
+		j := explained(accepted(0), placed(0, 1, `"a","a","a"`), stop(0), stop(1), end(1), end(0), placed(4000, 2, `"b","b"`), over(6000, 6000)).Jobs[0]
+		Expect(j.LostRuns).To(Equal(map[explain.Cause]int{explain.Evicted: 2}))
+	})
+
 	It("counts the time until callers were told, if that was before the record", func() {
 		j := explained(accepted(0), placed(0, 1, `"a"`), ended(2000, 1, "a", "done"), over(2000, 2000),
 			at(2800, "witness: callers are told of an end that is not recorded", ""), over(8000, 8000)).Jobs[0]
--- a/explain/history.go
+++ b/explain/history.go
@@ -26,8 +26,9 @@
 	placements int
 }
 
-// runHistory is one run of a task: of the placement until it ended.
+// runHistory is one run of a task, from its placement until it ended. task is "" until a line names it.
 type runHistory struct {
+	task       string
 	worker     string
 	number     int
 	begin, end clock.Millis
@@ -58,9 +59,13 @@
 	case "controller: stopping a run":
 		h.lostWork[l.Reason] += l.LostWork
 		j.job.LostWork += l.LostWork
-		j.eachRun(l, func(r *runHistory) { r.stopReason = l.Reason })
+		if r := j.findRun(l); r != nil {
+			r.stopReason = l.Reason
+		}
 	case "controller: run has ended":
-		j.eachRun(l, func(r *runHistory) { r.end, r.ended, r.how, r.done = l.At, true, l.How, l.How == "done" })
+		if r := j.findRun(l); r != nil {
+			r.end, r.ended, r.how, r.done = l.At, true, l.How, l.How == "done"
+		}
 	case "controller: tasks wait although there is room":
 		j.job.WaitedFor[obstacle(l)]++
 	case "controller: job is over":
@@ -92,14 +97,23 @@
 	}
 }
 
-// eachRun calls f for the run that a line is about, or for the first of several that it may be.
-func (j *jobHistory) eachRun(l *Line, f func(r *runHistory)) {
+// findRun returns the run that a line is about, or nil. A placement does not tell which task went to
+// which of its workers, so the first line about a task binds it to a run there.
+func (j *jobHistory) findRun(l *Line) *runHistory {
+	var unbound *runHistory
 	for _, r := range j.runs {
-		if r.worker == l.Worker && r.number == l.Run && !r.ended {
-			f(r)
-			return
+		switch {
+		case r.worker != l.Worker || r.number != l.Run || r.ended:
+		case r.task == l.Task:
+			return r
+		case r.task == "" && unbound == nil:
+			unbound = r
 		}
 	}
+	if unbound != nil {
+		unbound.task = l.Task
+	}
+	return unbound
 }
 
 // addEnd notes the end of the job. A later leader that did not know of it logs it again.
