--- a/controller/plan.go
+++ b/controller/plan.go
@@ -53,7 +53,7 @@
 	c.planInterval = max(minPlanInterval, planIntervalFactor*took)
 	c.opts.Counters.Histogram("chestnutsail_plan_seconds").Update(float64(took) / float64(clock.Second))
 	for i := range out.Stuck {
-		c.reportStuck(snap, &out.Stuck[i])
+		c.reportStuck(snap, &out.Stuck[i], now)
 	}
 	for _, s := range out.Starts {
 		c.placeUnit(snap, s)
--- a/planner/reserve_test.go
+++ b/planner/reserve_test.go
@@ -103,7 +103,7 @@
 		recent := small
 		recent.Waited = 2 * clock.Second
 		in.Units = []planner.Unit{gang, small, recent}
-		Expect(planner.Plan(in).Stuck).To(Equal([]planner.Stuck{{Unit: 1, Reserved: 8, Unhealthy: 8}}))
+		Expect(planner.Plan(in).Stuck).To(Equal([]planner.Stuck{{Unit: 1, Cause: planner.CauseReserved, Usage: 0.5, Reserved: 8, Unhealthy: 8}}))
 	})
 
 	It("is limited by the use of cores where workers have no accelerators", func() {
--- a/planner/stuck.go
+++ b/planner/stuck.go
@@ -8,13 +8,38 @@
 	maxStuckUnits = 8
 )
 
+// Cause is the reason why a unit waits although there are free resources for its tasks.
+type Cause string
+
+const (
+	// CauseData means that the unit fits, and waits for the rack of its data.
+	CauseData Cause = "data"
+	// CauseRack means that the unit fits, and waits for a single rack.
+	CauseRack Cause = "rack"
+	// CauseHeadroom means that the unit needs nodes that are kept free for urgent units.
+	CauseHeadroom Cause = "headroom"
+	// CauseReserved means that the unit needs nodes that are reserved for a waiting gang.
+	CauseReserved Cause = "reserved"
+	// CauseUnhealthy means that the unit needs nodes that were recently slow or had failures.
+	CauseUnhealthy Cause = "unhealthy"
+	// CauseAvoided means that the unit needs nodes where its own tasks have failed before.
+	CauseAvoided Cause = "avoided"
+	// CauseUnknown means that the unit fits and no reason to wait is known.
+	CauseUnknown Cause = "unknown"
+)
+
 // Stuck describes a unit that waits although there are free resources for its tasks. It counts
 // the tasks that would fit, by the obstacle that keeps them from starting. Each node counts for
 // one obstacle only. Unit is the index in Input.Units.
 type Stuck struct {
 	Unit int
-	// Free counts the tasks that would fit on nodes without an obstacle. The unit then waits for
-	// a single rack or for the rack of its data.
+	// Cause is the obstacle without which the unit would fit. If it takes several, it is the last
+	// of them in the order of the constants.
+	Cause Cause
+	// Usage is the share of the unit's service that is in use, from 0 to 1.
+	Usage float64
+	// Free counts the tasks that would fit on nodes without an obstacle. If these are enough, the
+	// unit waits for a single rack or for the rack of its data.
 	Free int
 	// Reserved counts the tasks that would fit on nodes reserved for a waiting gang, which may
 	// be the unit itself. Headroom counts those on nodes that are kept free for urgent units.
@@ -36,7 +61,7 @@
 	if p.StuckAfter == 0 || u.Waited < p.StuckAfter || len(p.out.Stuck) == maxStuckUnits {
 		return
 	}
-	s := Stuck{Unit: i}
+	s := Stuck{Unit: i, Usage: p.usages[u.Service].share()}
 	for n := range p.Nodes {
 		node := &p.Nodes[n]
 		if !node.Usable || node.Service != u.Service || !node.hasLabel(u.Label) {
@@ -45,10 +70,31 @@
 		*p.obstacleCounter(&s, u, n) += p.slots(u, n, node.Free)
 	}
 	if s.Slots() >= stuckRoomFactor*p.requiredTasks(u) {
+		s.Cause = p.stuckCause(u, &s)
 		p.out.Stuck = append(p.out.Stuck, s)
 	}
 }
 
+// stuckCause returns why a unit is stuck, given the tasks that would fit.
+func (p *plan) stuckCause(u *Unit, s *Stuck) Cause {
+	required := p.requiredTasks(u)
+	switch {
+	case s.Free >= required && u.DataRack != "" && u.Waited < placementWait(u, dataWaitFactor):
+		return CauseData
+	case s.Free >= required && u.Gang && u.SameRack:
+		return CauseRack
+	case s.Free >= required:
+		return CauseUnknown
+	case s.Free+s.Headroom >= required:
+		return CauseHeadroom
+	case s.Free+s.Headroom+s.Reserved >= required:
+		return CauseReserved
+	case s.Slots()-s.Avoided >= required:
+		return CauseUnhealthy
+	}
+	return CauseAvoided
+}
+
 // obstacleCounter returns the counter in s of the obstacle that keeps a unit from a node.
 func (p *plan) obstacleCounter(s *Stuck, u *Unit, n int) *int {
 	node := &p.Nodes[n]
--- a/planner/usage.go
+++ b/planner/usage.go
@@ -13,6 +13,18 @@
 	return 2*u.used.Cores < u.total.Cores
 }
 
+// share returns the share of a service that is in use, from 0 to 1, in the same resource as
+// halfEmpty. It returns 0 for a service without resources.
+func (u usage) share() float64 {
+	switch {
+	case u.total.Accels > 0:
+		return float64(u.used.Accels) / float64(u.total.Accels)
+	case u.total.Cores > 0:
+		return float64(u.used.Cores) / float64(u.total.Cores)
+	}
+	return 0
+}
+
 // accelCores is the number of cores that one accelerator counts as. It is the ratio at which the
 // platform charges for work.
 const accelCores = 8
