planner: start work that could run after 2 s, whatever keeps it waiting

Cause: a gang that wants one rack waited for one for as long as one of its tasks is predicted to run. The class: a wait for something better that ends by its own measure (a run time, a state of workers, another gang's need) and not by the promise to callers. Headroom got its bound when it was seen to break the rule; the wait for a rack, the wait for the data's rack, reservations, slow and failing workers and workers where a task has failed had none.

The fix: in one place, and for any reason: a unit that has waited for 2 s while under half of its service is in use starts if what is free holds it twice over. It takes the weakest obstacles that will do, so reserved and unhealthy nodes are used last, and a unit that is no gang gets one task while none of its step runs. A last attempt still avoids nodes that failed tasks within the last 3 s: it would fail its job. No unit is left over in the 20,000 plans. 'controller: tasks are placed' names what was overridden.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -97,7 +97,7 @@
 		"job": p.job.id, "occurrence": p.occurrence, "step": p.index, "tasks": len(s.Nodes), "of": u.Count, "run": number,
 		"workers": workerIDs, "waited_ms": int64(u.Waited), "priority": u.Priority, "guaranteed": u.Guaranteed, "late": u.Late, "hopeless": u.Hopeless, "term": c.term,
 		"racks": len(racks), "gang": u.Gang, "same_rack": u.SameRack, "data_rack": u.DataRack, "slowest": math.Round(100*slowest) / 100,
-		"declared_ms": int64(p.step.Estimate), "predicted_ms": int64(u.Estimate), "accels": u.Shape.Accels,
+		"declared_ms": int64(p.step.Estimate), "predicted_ms": int64(u.Estimate), "accels": u.Shape.Accels, "despite": string(s.Despite),
 	}).Info("controller: tasks are placed")
 	c.markChanged(p.job)
 }
--- a/planner/headroom.go
+++ b/planner/headroom.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/chestnutsail/chestnutsail/clock"
 )
 
 // reserveHeadroom marks the nodes that only urgent units may use in the rest of the plan. It
@@ -38,18 +36,13 @@
 	}
 }
 
-const (
-	// headroomDivisor limits the headroom while less than half of a service is in use: it is at
-	// most the service's number of accelerators divided by headroomDivisor.
-	headroomDivisor = 4
-	// headroomWait is how long a unit waits before it may use the headroom of a service that
-	// has spare capacity. The platform allows work that could run to wait for at most 3 s.
-	headroomWait = 2 * clock.Second
-)
+// headroomDivisor limits the headroom while less than half of a service is in use: it is at most
+// the service's number of accelerators divided by headroomDivisor.
+const headroomDivisor = 4
 
 // mayUseHeadroom reports whether a unit may use the nodes that are reserved for urgent work.
 func (p *plan) mayUseHeadroom(u *Unit) bool {
-	return u.Priority == 0 || (u.Waited >= headroomWait && p.usages[u.Service].hasSpareCapacity())
+	return u.Priority == 0 || p.overdue(u)
 }
 
 // nonUrgentByRack returns the number of accelerators in each rack that non-urgent work uses,
--- a/planner/overdue_test.go
+++ b/planner/overdue_test.go
@@ -1,6 +1,9 @@
 package planner_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -83,3 +86,105 @@
 		})).To(BeZero())
 	})
 })
+
+// roomLeft returns how many tasks of a unit fit into what a plan leaves free on the nodes that are not
+// ruled out for it.
+func roomLeft(in planner.Input, out planner.Output, u planner.Unit) int {
+	free := make([]planner.Shape, len(in.Nodes))
+	for n := range in.Nodes {
+		free[n] = in.Nodes[n].Free
+	}
+	for _, start := range out.Starts {
+		for _, n := range start.Nodes {
+			free[n] = free[n].Sub(in.Units[start.Unit].Shape)
+		}
+	}
+	room := 0
+	for n := range in.Nodes {
+		node := &in.Nodes[n]
+		if !node.Usable || node.Service != u.Service || (u.Label != "" && u.Label != node.Labels[0]) || (node.Suspect && u.LastAttempt) {
+			continue
+		}
+		slots := free[n].Slots(u.Shape)
+		if u.PerWorker > 0 {
+			slots = min(slots, u.PerWorker-u.TasksOnNode[n])
+		}
+		room += max(slots, 0)
+	}
+	return room
+}
+
+// randomInput returns a random plan's input: units with all kinds of wishes on nodes in all states,
+// and nothing that is being stopped.
+func randomInput(random *rand.Rand) planner.Input {
+	s := newCluster(2+random.IntN(5), 1+random.IntN(8))
+	in, _, _ := s.input()
+	chance := func(n int) bool { return random.IntN(n) == 0 }
+	for n := range in.Nodes {
+		node := &in.Nodes[n]
+		node.Labels, node.Speed = []string{fmt.Sprint("l", random.IntN(3))}, 1
+		node.Usable, node.Suspect, node.Slow = !chance(10), chance(6), chance(6)
+		for range random.IntN(9) {
+			node.Free = node.Free.Sub(planner.Shape{Cores: 1000 * random.IntN(4), Memory: 1000, Accels: random.IntN(2)})
+		}
+		node.FreeSoon = node.Free
+	}
+	in.Headroom = map[string]int{"svc": random.IntN(8 * len(in.Nodes))}
+	for range 1 + random.IntN(12) {
+		u := planner.Unit{
+			Service: "svc", Priority: random.IntN(3), Guaranteed: chance(6), Gang: chance(2), SameRack: chance(2), LastAttempt: chance(4),
+			Shape: planner.Shape{Cores: 1000 * (1 + random.IntN(8)), Memory: 1000 * (1 + random.IntN(8)), Accels: 1 << random.IntN(4)},
+			Count: 1 + random.IntN(16), Estimate: clock.Millis(random.IntN(60000)), Waited: clock.Millis(random.IntN(8000)),
+			Rank: clock.Millis(random.IntN(60000)), Late: chance(4), Hopeless: chance(6), MaxLoss: float64(1000 * random.IntN(2)),
+			Avoid: make(map[int]bool),
+		}
+		if chance(3) {
+			u.DataRack = fmt.Sprint("r", random.IntN(4))
+		}
+		if chance(4) {
+			u.Label = "l1"
+		}
+		if chance(4) {
+			u.PerWorker = 1 + random.IntN(2)
+		}
+		for range random.IntN(4) {
+			u.Avoid[random.IntN(len(in.Nodes))] = true
+		}
+		in.Units = append(in.Units, u)
+	}
+	return in
+}
+
+var _ = Describe("a plan of any work on workers in any state", func() {
+	It("leaves no unit that has waited for 2 s without a start while there is room for it twice over and under half is in use", func() {
+		const plans = 20000
+		checked := 0
+		for seed := range uint64(plans) {
+			in := randomInput(rand.New(rand.NewPCG(seed, 28)))
+			used, total := 0, 0
+			for n := range in.Nodes {
+				if node := &in.Nodes[n]; node.Usable {
+					used += node.Capacity.Accels - node.Free.Accels
+					total += node.Capacity.Accels
+				}
+			}
+			if 2*used >= total {
+				continue
+			}
+			out := planner.Plan(in)
+			for _, i := range out.Blocked {
+				u := in.Units[i]
+				if u.Waited < 2*clock.Second {
+					continue
+				}
+				required := 1
+				if u.Gang {
+					required = u.Count
+				}
+				checked++
+				Expect(roomLeft(in, out, u)).To(BeNumerically("<", 2*required), "seed %d, unit %d: %+v", seed, i, u)
+			}
+		}
+		Expect(checked).To(BeNumerically(">", plans/20))
+	})
+})
--- a/planner/place.go
+++ b/planner/place.go
@@ -10,25 +10,7 @@
 
 // eligible reports whether the node with index n may run tasks of a unit, regardless of the free
 // resources there.
-func (p *plan) eligible(u *Unit, n int) bool {
-	if u.Avoid[n] || p.reserved[n] || (p.urgentOnly[n] && !p.mayUseHeadroom(u)) {
-		return false
-	}
-	return p.suitable(u, n)
-}
-
-// suitable reports whether the node with index n may run tasks of a unit, regardless of what
-// other units need it for and of earlier failures of the unit's tasks there.
-func (p *plan) suitable(u *Unit, n int) bool {
-	node := &p.Nodes[n]
-	if !node.Usable || node.Service != u.Service {
-		return false
-	}
-	if (node.Suspect || node.Slow) && (u.LastAttempt || u.Gang) {
-		return false
-	}
-	return node.hasLabel(u.Label)
-}
+func (p *plan) eligible(u *Unit, n int) bool { return p.obstacle(u, n) == noObstacle }
 
 // allowAvoided clears the avoided nodes of the units that would not fit on the other nodes even
 // if these were empty. Such a unit could otherwise never start.
@@ -40,7 +22,7 @@
 		}
 		missing := p.requiredTasks(u)
 		for n := range p.Nodes {
-			if !u.Avoid[n] && p.suitable(u, n) {
+			if !u.Avoid[n] && p.healthy(u, n) {
 				missing -= p.slots(u, n, p.Nodes[n].Capacity)
 			}
 		}
@@ -125,7 +107,7 @@
 // or for a single rack. available returns the resources that may be used on a node.
 func (p *plan) place(u *Unit, available func(n int) Shape) []int {
 	if u.DataRack != "" {
-		if nodes := p.pack(u, p.byRack[u.DataRack], available); nodes != nil {
+		if nodes := p.pack(u, p.byRack[u.DataRack], available, noObstacle); nodes != nil {
 			return nodes
 		}
 		if p.shouldWaitForData(u) {
@@ -140,7 +122,7 @@
 			return nil
 		}
 	}
-	return p.pack(u, p.allNodes, available)
+	return p.pack(u, p.allNodes, available, noObstacle)
 }
 
 func (p *plan) shouldWaitForData(u *Unit) bool {
@@ -193,7 +175,7 @@
 	var best []int
 	leastUnused := math.MaxInt
 	for _, rack := range p.racks {
-		nodes := p.pack(u, p.byRack[rack], available)
+		nodes := p.pack(u, p.byRack[rack], available, noObstacle)
 		if nodes == nil {
 			continue
 		}
@@ -215,15 +197,16 @@
 	slots   int32
 }
 
-// pack places a unit on the nodes of a set, in their order of preference. It returns one node
-// for each task, or nil if a gang does not fit whole or no task of another unit fits.
-func (p *plan) pack(u *Unit, set []int, available func(n int) Shape) []int {
+// pack places a unit on the nodes of a set that have no worse obstacle than the given one, in their
+// order of preference. It returns one node for each task, or nil if a gang does not fit whole or no
+// task of another unit fits.
+func (p *plan) pack(u *Unit, set []int, available func(n int) Shape, worst obstacle) []int {
 	candidates := p.candidates[:0]
 	total := 0
 	for _, n := range set {
 		free := available(n)
 		fitting := p.slots(u, n, free)
-		if fitting == 0 || !p.eligible(u, n) {
+		if fitting == 0 || p.obstacle(u, n) > worst {
 			continue
 		}
 		candidates = append(candidates, candidate{p.preference(u, n, free), int32(n), int32(fitting)})
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -175,10 +175,12 @@
 }
 
 // Start places tasks of a unit. Unit is the index in Input.Units. Nodes has one entry for each
-// started task: the index of its node in Input.Nodes.
+// started task: the index of its node in Input.Nodes. Despite is what would have kept the unit waiting
+// if it had not waited for too long already, and "" for other units.
 type Start struct {
-	Unit  int
-	Nodes []int
+	Unit    int
+	Nodes   []int
+	Despite Cause
 }
 
 // Output is a plan. Units, running work and nodes are given as indices in the Input.
@@ -316,7 +318,11 @@
 	u := &p.Units[i]
 	req, complete := p.requirementsOf(u)
 	if nodes := p.placeUnlessFailed(u, req, complete, p.failedFree, func(n int) Shape { return p.Nodes[n].Free }); nodes != nil {
-		p.start(i, nodes)
+		p.start(i, nodes, "")
+		return true
+	}
+	if nodes, cause := p.placeOverdue(u); nodes != nil {
+		p.start(i, nodes, cause)
 		return true
 	}
 	if !u.Gang && u.Priority > 0 {
@@ -336,14 +342,14 @@
 	return false
 }
 
-func (p *plan) start(i int, nodes []int) {
+func (p *plan) start(i int, nodes []int, despite Cause) {
 	u := &p.Units[i]
 	for _, n := range nodes {
 		p.rackFree[p.rackOf[n]] -= u.Shape.Accels
 		p.Nodes[n].Free = p.Nodes[n].Free.Sub(u.Shape)
 		p.Nodes[n].FreeSoon = p.Nodes[n].FreeSoon.Sub(u.Shape)
 	}
-	p.out.Starts = append(p.out.Starts, Start{Unit: i, Nodes: nodes})
+	p.out.Starts = append(p.out.Starts, Start{Unit: i, Nodes: nodes, Despite: despite})
 }
 
 // claimSoon takes resources that become free soon for a unit, so that later units of this plan do
--- a/planner/stuck.go
+++ b/planner/stuck.go
@@ -61,52 +61,39 @@
 	if p.StuckAfter == 0 || u.Waited < p.StuckAfter || len(p.out.Stuck) == maxStuckUnits {
 		return
 	}
-	s := Stuck{Unit: i, Usage: p.usages[u.Service].share()}
-	for n := range p.Nodes {
-		node := &p.Nodes[n]
-		if !node.Usable || node.Service != u.Service || !node.hasLabel(u.Label) {
-			continue
-		}
-		*p.obstacleCounter(&s, u, n) += p.slots(u, n, node.Free)
+	slots := p.freeSlots(u)
+	s := Stuck{
+		Unit: i, Usage: p.usages[u.Service].share(), Free: slots[noObstacle], Reserved: slots[reservedNode], Headroom: slots[urgentOnlyNode],
+		Avoided: slots[avoidedNode], Unhealthy: slots[unhealthyNode] + slots[failingNode],
 	}
 	if s.Slots() >= stuckRoomFactor*p.requiredTasks(u) {
-		s.Cause = p.stuckCause(u, &s)
+		s.Cause = p.waitCause(u, slots)
 		p.out.Stuck = append(p.out.Stuck, s)
 	}
 }
 
-// stuckCause returns why a unit is stuck, given the tasks that would fit.
-func (p *plan) stuckCause(u *Unit, s *Stuck) Cause {
+// waitCause returns why a unit waits although there are free resources for it, given the tasks that
+// fit by their obstacles.
+func (p *plan) waitCause(u *Unit, slots [obstacleKinds]int) Cause {
 	required := p.requiredTasks(u)
+	worst, fitting := noObstacle, slots[noObstacle]
+	for fitting < required && worst < failingNode {
+		worst++
+		fitting += slots[worst]
+	}
 	switch {
-	case s.Free >= required && u.DataRack != "" && u.Waited < placementWait(u, dataWaitFactor):
-		return CauseData
-	case s.Free >= required && u.Gang && u.SameRack:
-		return CauseRack
-	case s.Free >= required:
-		return CauseUnknown
-	case s.Free+s.Headroom >= required:
+	case worst == urgentOnlyNode:
 		return CauseHeadroom
-	case s.Free+s.Headroom+s.Reserved >= required:
+	case worst == reservedNode:
 		return CauseReserved
-	case s.Slots()-s.Avoided >= required:
+	case worst == avoidedNode:
+		return CauseAvoided
+	case worst > noObstacle:
 		return CauseUnhealthy
+	case u.DataRack != "" && u.Waited < placementWait(u, dataWaitFactor):
+		return CauseData
+	case u.Gang && u.SameRack:
+		return CauseRack
 	}
-	return CauseAvoided
-}
-
-// obstacleCounter returns the counter in s of the obstacle that keeps a unit from a node.
-func (p *plan) obstacleCounter(s *Stuck, u *Unit, n int) *int {
-	node := &p.Nodes[n]
-	switch {
-	case u.Avoid[n]:
-		return &s.Avoided
-	case (node.Suspect || node.Slow) && (u.LastAttempt || u.Gang):
-		return &s.Unhealthy
-	case p.reserved[n]:
-		return &s.Reserved
-	case p.urgentOnly[n] && !p.mayUseHeadroom(u):
-		return &s.Headroom
-	}
-	return &s.Free
+	return CauseUnknown
 }
