controller: count a wait from acceptance, not from the first plan of a new leader

What callers saw: work that a leader had kept waiting was kept waiting for the whole limit again by its successor.

Cause: the start of a wait is kept in the leader's memory alone, and a new leader takes its own first plan for it. Ruled out: the new leader's time to load jobs (1 ms in the spec). Evidence: the spec 'starts within 3 s of its acceptance under a leader that took over meanwhile' failed before (no start in the 1.9 s that were left), also with the limit of 2 s on every wait.

A step that depends on no other was ready when its job was accepted or its occurrence was due, and both are recorded, so a new leader knows it. For a step after others, the time at which these were done is not recorded; its wait still begins anew.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -241,12 +241,16 @@
 	if len(waiting) == 0 || (p.step.Gang && len(waiting) < len(p.tasks)) {
 		return
 	}
-	if p.readySince == 0 {
-		p.readySince = now
-	}
 	j := p.job
 	r := j.record
 	begin := max(r.AcceptedAt, r.Spec.EarliestStart(p.occurrence))
+	if p.readySince == 0 {
+		p.readySince = now
+		if len(p.step.After) == 0 {
+			// An earlier leader may have kept the part waiting already.
+			p.readySince = min(begin, now)
+		}
+	}
 	objective := c.objective(j)
 	u := planner.Unit{
 		Service: r.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: r.Priority, Guaranteed: guaranteed,
