controller: take one successful end of a gang's member for the whole gang

What callers saw: a job that never ended and of which nothing ran, for good.

Cause: a successful end that does not belong to the member's current run marked that member alone as done. A gang is planned only if all its members wait, so a gang with one member done is never planned again; the watchdog, which looks at planned work, is silent. It takes runs that were given up when leases expired, one worker that comes back with the end and another that has restarted. By the platform's contract one such end stands for all.

Ruled out: a lost acknowledgement (the end is handled, 'current' false) and a lack of room (both workers idle).

Now any successful end of a gang's run marks all members, later runs of the gang are stopped, and a failed end of such a run no longer counts against the job.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -76,6 +76,19 @@
 	return agent.Task{Job: t.part.job.id, Occurrence: t.part.occurrence, Step: t.part.index, Index: t.index}
 }
 
+func (t *task) markDone() {
+	if !t.done {
+		t.done = true
+		t.part.doneTasks++
+	}
+}
+
+func (p *part) markAllDone() {
+	for _, t := range p.tasks {
+		t.markDone()
+	}
+}
+
 // trackJob adds a job from the board to the jobs that the leader knows, with its progress.
 func (c *Controller) trackJob(v board.View) {
 	if c.jobs[v.ID] != nil {
@@ -131,20 +144,19 @@
 	}
 	p := j.partOf(recorded.Occurrence, recorded.Step)
 	if recorded.AllDone {
-		for _, t := range p.tasks {
-			t.done = true
-		}
-		p.doneTasks = len(p.tasks)
+		p.markAllDone()
 		p.measured.add(float64(recorded.RunTime))
 		c.runTimes.Observe(j.record.Queue, p.step.Estimate, recorded.RunTime)
 		return
 	}
 	for _, i := range recorded.Done {
-		if i < len(p.tasks) && !p.tasks[i].done {
-			p.tasks[i].done = true
-			p.doneTasks++
+		if i < len(p.tasks) {
+			p.tasks[i].markDone()
 		}
 	}
+	if p.step.Gang && p.doneTasks > 0 {
+		p.markAllDone()
+	}
 	for _, r := range recorded.Tasks {
 		if r.Index < len(p.tasks) {
 			t := p.tasks[r.Index]
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -155,18 +155,15 @@
 	return j.partOf(t.Occurrence, t.Step)
 }
 
-// completeTask handles a successful end of a run: it marks the task as done. If the run is the
-// current one of a gang's member, it marks all tasks of the gang as done, because one member's
-// success stands for all.
+// completeTask handles a successful end of a run: it marks the task as done. A successful end of a
+// gang's member stands for all members, whichever run of the gang it belongs to.
 func (c *Controller) completeTask(n *node, t *task, r *run, current bool, e agent.RunEnd) {
 	n.failures, n.lastFailedJob, n.suspectUntil = 0, "", 0
-	if r != nil && !current && r.state != planned && r.state != recording {
+	p := t.part
+	if r != nil && !current && !p.step.Gang && r.state != planned && r.state != recording {
 		// A later run of the task has been ordered already.
-		if !t.part.step.Gang {
-			return
-		}
+		return
 	}
-	p := t.part
 	if current {
 		p.measure(r, c.opts.Clock.Now())
 	}
@@ -176,22 +173,20 @@
 		}
 		return
 	}
-	mark := func(x *task) {
-		if !x.done {
-			x.done = true
-			p.doneTasks++
-		}
-	}
-	mark(t)
-	if p.step.Gang && current {
-		for _, x := range p.tasks {
-			mark(x)
-		}
+	if p.step.Gang {
+		p.markAllDone()
+	} else {
+		t.markDone()
 	}
 	if p.doneTasks == len(p.tasks) {
 		c.runTimes.Observe(p.job.record.Queue, p.step.Estimate, p.measured.mean())
 	}
-	if r != nil && (current || r.state == planned || r.state == recording) {
+	if p.step.Gang && !current {
+		// The end belongs to an earlier run of the gang.
+		for _, later := range p.runs() {
+			c.stopRun(later, "its gang is done")
+		}
+	} else if r != nil && (current || r.state == planned || r.state == recording) {
 		c.removeRun(r, agent.Done, "")
 	}
 	c.markChanged(p.job)
@@ -201,7 +196,7 @@
 // the task, or its gang, has failed as often as the queue allows.
 func (c *Controller) handleUnsuccessfulEnd(n *node, t *task, r *run, e agent.RunEnd) {
 	p := t.part
-	if e.Reason == agent.Failed && !p.step.UntilCancelled {
+	if e.Reason == agent.Failed && !p.step.UntilCancelled && !t.done {
 		c.recordFailure(n, t)
 		t.failures++
 		if p.step.Gang && p.lastFailedRun != e.Run {
@@ -210,7 +205,7 @@
 		}
 	}
 	c.removeRun(r, e.Reason, e.Checkpoint)
-	if p.job.state.Final() {
+	if p.job.state.Final() || t.done {
 		return
 	}
 	failures := t.failures
