--- a/controller/plan.go
+++ b/controller/plan.go
@@ -254,7 +254,7 @@
 	objective := c.objective(j)
 	u := planner.Unit{
 		Service: r.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: r.Priority, Guaranteed: guaranteed,
-		Shape: p.shape(), Count: len(waiting), Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker,
+		Shape: p.shape(), Count: len(waiting), Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
 		Rank: begin + objective, Waited: now - p.readySince, Estimate: c.predictRunTime(p),
 		Late:     !p.step.UntilCancelled && now+c.longestChainFrom(p) > begin+objective,
 		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
--- a/planner/overdue.go
+++ b/planner/overdue.go
@@ -12,17 +12,19 @@
 	spareRoomFactor = 2
 )
 
-// overdue reports whether a unit has waited for as long as it may in a service with spare capacity.
+// overdue reports whether a unit has waited for as long as it may. Only lasting units have that limit
+// also in a service without spare capacity.
 func (p *plan) overdue(u *Unit) bool {
-	return u.Waited >= maxHold && p.usages[u.Service].hasSpareCapacity()
+	return u.Waited >= maxHold && (u.Lasting || p.usages[u.Service].hasSpareCapacity())
 }
 
 // placeOverdue places an overdue unit that fits into the free resources with room to spare, although
 // something keeps it from them, and returns the cause. It takes nodes with weaker obstacles if these are
-// enough. Of a unit that is no gang, it places one task if none is running: the unit's job is then
-// at work, and the other tasks wait on. It returns nil if the unit has to wait.
+// enough. Of a unit that is no gang, it places one task, and unless it is lasting only if none is
+// running: the unit's job is then at work, and the other tasks wait on. It returns nil if the unit has
+// to wait.
 func (p *plan) placeOverdue(u *Unit) ([]int, Cause) {
-	if !p.overdue(u) || (!u.Gang && len(u.TasksOnNode) > 0) {
+	if !p.overdue(u) || (!u.Gang && !u.Lasting && len(u.TasksOnNode) > 0) {
 		return nil, ""
 	}
 	slots := p.freeSlots(u)
--- a/planner/overdue_test.go
+++ b/planner/overdue_test.go
@@ -77,6 +77,35 @@
 		})).To(BeZero())
 	})
 
+	DescribeTable("is started however full the service is, if it runs until its job is cancelled, and was waiting for",
+		func(change func(in *planner.Input)) {
+			for _, c := range []struct {
+				waited  clock.Millis
+				lasting bool
+				starts  int
+			}{{1900 * clock.Millisecond, true, 0}, {2 * clock.Second, true, 1}, {clock.Hour, false, 0}} {
+				Expect(plan(c.waited, func(in *planner.Input) {
+					for n := range in.Nodes {
+						if n%4 < 3 {
+							in.Nodes[n].Free, in.Nodes[n].FreeSoon = planner.Shape{}, planner.Shape{}
+						}
+					}
+					u := &in.Units[0]
+					u.Gang, u.Count, u.TasksOnNode, u.Lasting = false, 1, map[int]int{0: 1}, c.lasting
+					change(in)
+				})).To(Equal(c.starts), "lasting: %v, after %d ms", c.lasting, c.waited)
+			}
+		},
+		Entry("nodes reserved for a gang", func(in *planner.Input) {
+			in.Units = append(in.Units, planner.Unit{Service: "svc", Shape: wholeWorkerTask, Count: 19, Gang: true})
+		}),
+		Entry("nodes kept free for urgent work", func(in *planner.Input) { in.Headroom = map[string]int{"svc": 192} }),
+		Entry("the rack of its data", func(in *planner.Input) {
+			in.Units[0].DataRack, in.Units[0].Estimate = "r0", 24*clock.Hour
+			in.Nodes[3].Free = planner.Shape{}
+		}),
+	)
+
 	It("keeps waiting for a single rack if there is no room for it twice over", func() {
 		Expect(plan(2*clock.Second, func(in *planner.Input) {
 			in.Units[0].SameRack = true
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -134,6 +134,8 @@
 	// LastAttempt units have a task whose next failure fails the whole job. They are not placed
 	// on suspect or slow nodes.
 	LastAttempt bool
+	// Lasting units have tasks that run until their job is cancelled.
+	Lasting bool
 	// Hopeless units belong to a job that is so late that finishing it is worth nothing any more.
 	Hopeless bool
 	// Late units can no longer meet the latency objective of their job, even if they start now.
