soak: check that no job that could run is idle for 3 s

The check, from what workers saw and callers were told: once there has been no fault for 4 s, a job that is accepted, has not ended and is not being cancelled must not have nothing running for 3 s on end while a task of it (a gang: all of it) could run, with room for it twice over and under half of the accelerators in use. Jobs of the soak have one step.

Each of the four workers now has a rack of its own. Long tasks that need a rack and gangs that want one are submitted beside the other jobs during the faults. The other jobs and the faults are drawn from the seed as before. After the faults, eight long tasks hold two accelerators in each rack, a gang of seven that wants one rack and declares 20 s is submitted, and the leader is shut down and started again. The spec demands that at least one of its seeds came to that.

With gangs, one end as done stands for all members (the protocol, "Jobs"), and the leader stops the others once it has seen it. checkCompleted follows that for gangs, which were not submitted before; for other jobs it is unchanged.

--- a/soak/check.go
+++ b/soak/check.go
@@ -13,11 +13,10 @@
 func (r *run) checkPromises() {
 	byTask := make(map[string][]platformtest.Interval)
 	startedJobs := make(map[string]bool)
-	for _, w := range r.workers {
-		for _, interval := range w.History() {
-			byTask[interval.Task] = append(byTask[interval.Task], interval)
-			startedJobs[strings.SplitN(interval.Task, ".", 2)[0]] = true
-		}
+	intervals := r.history()
+	for _, interval := range intervals {
+		byTask[interval.Task] = append(byTask[interval.Task], interval)
+		startedJobs[jobOf(interval)] = true
 	}
 	for task, intervals := range byTask {
 		r.checkTask(task, intervals)
@@ -36,6 +35,22 @@
 			r.violationf("job %s ran, and no caller submitted it", id)
 		}
 	}
+	r.checkIdleJobs(intervals)
+}
+
+// history returns the runs that all workers recorded.
+func (r *run) history() []platformtest.Interval {
+	var intervals []platformtest.Interval
+	for _, w := range r.workers {
+		intervals = append(intervals, w.History()...)
+	}
+	return intervals
+}
+
+// jobOf returns the ID of the job that a run belongs to.
+func jobOf(interval platformtest.Interval) string {
+	id, _, _ := strings.Cut(interval.Task, ".")
+	return id
 }
 
 // checkTask reports runs of one task that overlap in time. It also reports each run that
@@ -59,15 +74,18 @@
 	switch {
 	case !j.accepted && !j.ambiguous && started:
 		r.violationf("job %s was refused at every attempt, and it ran", j.id)
-	case j.accepted && j.state != "completed" && j.state != "failed" && j.state != "cancelled":
+	case j.accepted && !j.ended():
 		r.violationf("job %s was accepted, and its state after the run is %q", j.id, j.state)
 	case j.state == "completed":
 		r.checkCompleted(j, byTask)
 	}
 }
 
-// checkCompleted reports the tasks of a completed job that were started and were never done.
+// checkCompleted reports the tasks of a completed job that were started and were never done. By the
+// platform's protocol, one end of a gang's member as done stands for the whole gang.
 func (r *run) checkCompleted(j *job, byTask map[string][]platformtest.Interval) {
+	gangDone := false
+	var missing []string
 	for task, intervals := range byTask {
 		if !strings.HasPrefix(task, j.id+".") {
 			continue
@@ -77,8 +95,15 @@
 			done = done || interval.Outcome == "done"
 		}
 		if !done {
-			r.violationf("job %s has the state completed, and task %s was never done", j.id, task)
+			missing = append(missing, task)
 		}
+		gangDone = gangDone || (j.body.Gang && done)
+	}
+	if gangDone {
+		return
+	}
+	for _, task := range missing {
+		r.violationf("job %s has the state completed, and task %s was never done", j.id, task)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -17,7 +17,8 @@
 //     its history, or reports no changes to watches;
 //   - workers that drop the answers to start requests.
 //
-// Faults start one after another and may overlap.
+// Faults start one after another and may overlap. After the last one, a gang that wants one rack
+// waits while long tasks hold a part of each rack, and the leader is restarted once.
 package soak
 
 import (
@@ -34,7 +35,10 @@
 
 const (
 	instanceCount = 3
-	workerCount   = 4
+	// workerCount is the number of workers. Each has a rack of its own.
+	workerCount = 4
+	// workerAccels is the number of accelerators of a worker.
+	workerAccels = 8
 	// maxLease is the longest lease that a worker grants.
 	maxLease = 2 * time.Second
 	// settleTimeout is the time after the last fault within which every accepted job has to end.
@@ -62,6 +66,9 @@
 	Jobs, Accepted int
 	// Faults lists the injected faults in the order of their start.
 	Faults []string
+	// RackHeld tells whether a gang that wants one rack was accepted while long tasks ran in each
+	// rack, and the leader was restarted after that.
+	RackHeld bool
 	// Violations describes each broken promise.
 	Violations []string
 }
@@ -69,13 +76,24 @@
 // job is one submitted job with the answers that its caller received. It is ambiguous if
 // an attempt to submit it got no answer or an unexpected status.
 type job struct {
-	id          string
-	queue       string
-	accepted    bool
-	refusals    int
-	ambiguous   bool
+	id         string
+	queue      string
+	body       platformtest.Job
+	accepted   bool
+	acceptedAt time.Time
+	refusals   int
+	ambiguous  bool
+	// cancelSent is set before the job's caller asks to cancel it.
+	cancelSent  bool
 	cancelledAt time.Time
 	state       string
+	// endedAt is when a caller was first told that the job has ended; the zero time before.
+	endedAt time.Time
+}
+
+// ended reports whether a caller was told that the job has ended.
+func (j *job) ended() bool {
+	return j.state == "completed" || j.state == "failed" || j.state == "cancelled"
 }
 
 type run struct {
@@ -86,6 +104,8 @@
 	workers   []*platformtest.Worker
 	proxies   []*proxy
 	processes []*process
+	// calmFrom is when the last fault ended, and observedUntil when the last state was asked for.
+	calmFrom, observedUntil time.Time
 
 	mu     sync.Mutex
 	jobs   []*job
@@ -107,9 +127,11 @@
 	defer cancel()
 	var submitter sync.WaitGroup
 	submitter.Go(func() { r.submitJobs(ctx) })
+	submitter.Go(func() { r.submitRackJobs(ctx) })
 	r.injectFaults(ctx)
 	submitter.Wait()
 	r.clearFaults()
+	r.submitGangBesideLongTasks()
 	r.awaitJobs()
 	r.checkPromises()
 	return r.report, nil
@@ -118,11 +140,12 @@
 func (r *run) start() error {
 	r.store.Put("op/config", platformtest.Config(1,
 		platformtest.Queue{Name: "urgent", Priority: 0, Attempts: 3},
-		platformtest.Queue{Name: "batch", Priority: 2, Attempts: 3}))
+		platformtest.Queue{Name: "batch", Priority: 2, Attempts: 3},
+		platformtest.Queue{Name: rackQueue, Priority: 2, Attempts: 3}))
 	for i := range workerCount {
 		var failed error
 		w := platformtest.NewWorker(platformtest.WorkerOptions{
-			Store: r.store, ID: fmt.Sprintf("i-%d", i), Lease: maxLease,
+			Store: r.store, ID: fmt.Sprintf("i-%d", i), Rack: rackName(i), Lease: maxLease, GPU: workerAccels,
 			Address: func(own string) string {
 				p, err := newProxy(own)
 				if err != nil {
@@ -177,32 +200,40 @@
 	random := rand.New(rand.NewPCG(r.opts.Seed, 1))
 	var calls sync.WaitGroup
 	for number := 0; ctx.Err() == nil; number++ {
-		j := &job{id: fmt.Sprintf("%08x%08x", r.opts.Seed, number), queue: []string{"urgent", "batch"}[random.IntN(2)]}
-		body := platformtest.Job{
+		j := r.newJob(number, []string{"urgent", "batch"}[random.IntN(2)], platformtest.Job{
 			Spec: fmt.Sprintf("ms=%d fails=%d", 100+random.IntN(900), max(random.IntN(6)-4, 0)), Count: 1 + random.IntN(4),
-		}
+		})
 		cancelWhenAccepted, firstInstance := random.IntN(8) == 0, random.IntN(len(r.processes))
-		r.mu.Lock()
-		r.jobs = append(r.jobs, j)
-		r.mu.Unlock()
-		calls.Go(func() { r.submitJob(j, body, firstInstance, cancelWhenAccepted) })
+		calls.Go(func() { r.submitJob(j, firstInstance, cancelWhenAccepted) })
 		time.Sleep(jobInterval)
 	}
 	calls.Wait()
 }
 
+// jobID returns the ID of the job with a number.
+func (r *run) jobID(number int) string { return fmt.Sprintf("%08x%08x", r.opts.Seed, number) }
+
+// newJob adds a job to those that are submitted.
+func (r *run) newJob(number int, queue string, body platformtest.Job) *job {
+	j := &job{id: r.jobID(number), queue: queue, body: body}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs = append(r.jobs, j)
+	return j
+}
+
 // maxSubmitAttempts is the number of times that a caller submits a job before it gives up.
 // Each attempt goes to the next instance.
 const maxSubmitAttempts = 4
 
-func (r *run) submitJob(j *job, body platformtest.Job, firstInstance int, cancelWhenAccepted bool) {
+func (r *run) submitJob(j *job, firstInstance int, cancelWhenAccepted bool) {
 	ctx := context.Background()
 	for attempt := range maxSubmitAttempts {
-		status := r.caller.Submit(ctx, r.processes[(firstInstance+attempt)%len(r.processes)].callerAddress, j.queue, j.id, body)
+		status := r.caller.Submit(ctx, r.processes[(firstInstance+attempt)%len(r.processes)].callerAddress, j.queue, j.id, j.body)
 		r.mu.Lock()
 		switch status {
 		case 200:
-			j.accepted = true
+			j.accepted, j.acceptedAt = true, time.Now()
 		case 503, 429:
 			j.refusals++
 		default:
@@ -217,6 +248,7 @@
 	if !cancelWhenAccepted || !j.accepted {
 		return
 	}
+	j.cancelSent = true
 	if r.caller.Cancel(ctx, r.processes[(firstInstance+1)%len(r.processes)].callerAddress, j.queue, j.id) == 200 {
 		r.mu.Lock()
 		j.cancelledAt = time.Now()
@@ -240,6 +272,7 @@
 			r.violationf("an instance could not be started: %v", err)
 		}
 	}
+	r.calmFrom = time.Now()
 }
 
 // awaitJobs queries the states of the accepted jobs until all have ended or settleTimeout
@@ -248,10 +281,14 @@
 	for deadline := time.Now().Add(settleTimeout); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
 		unfinished := 0
 		for _, j := range r.jobs {
-			if !j.accepted || j.state == "completed" || j.state == "failed" || j.state == "cancelled" {
+			if !j.accepted || j.ended() {
 				continue
 			}
 			j.state, _ = r.caller.State(context.Background(), r.processes[r.random.IntN(len(r.processes))].callerAddress, j.queue, j.id)
+			r.observedUntil = time.Now()
+			if j.ended() {
+				j.endedAt = r.observedUntil
+			}
 			unfinished++
 		}
 		if unfinished == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,12 +54,17 @@
 		program := filepath.Join(dir, "chestnutsail")
 		out, err := exec.Command("go", "build", "-o", program, "../cmd/chestnutsail").CombinedOutput()
 		Expect(err).NotTo(HaveOccurred(), string(out))
+		racksHeld := 0
 		for _, seed := range seeds() {
 			report, err := soak.Run(soak.Options{Program: program, Seed: seed, Duration: 8 * time.Second, Dir: dir})
 			Expect(err).NotTo(HaveOccurred())
 			GinkgoWriter.Println("seed", seed, report)
 			Expect(report.Violations).To(BeEmpty(), "seed %d, faults %v", seed, report.Faults)
 			Expect(report.Accepted).To(BeNumerically(">", 0), "seed %d", seed)
+			if report.RackHeld {
+				racksHeld++
+			}
 		}
+		Expect(racksHeld).To(BeNumerically(">", 0), "seeds in which long tasks held a part of each rack")
 	})
 })
