controller: end a gang that the record of an earlier leader calls done

A new leader went on with runs of a gang whose record says that it is done: these were being stopped when the leader changed, and they kept the room of the next step.

Cause: inherited runs were stopped only if their whole job is over, and jobs were completed only after an end.

Inherited runs of a task that is done are stopped when they are reported, and a job is completed when its record is read, if nothing is left of it.

--- a/controller/gangdone_test.go
+++ b/controller/gangdone_test.go
@@ -1,14 +1,29 @@
 package controller_test
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/board"
+	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
+// rewriteProgress replaces the recorded progress of a job.
+func (i *instance) rewriteProgress(id string, change func(*workflow.Progress)) {
+	GinkgoHelper()
+	e, err := i.Store.Get(context.Background(), board.ProgressKey(id))
+	Expect(err).NotTo(HaveOccurred())
+	var progress workflow.Progress
+	Expect(workflow.Decode(e.Value, &progress)).To(Succeed())
+	change(&progress)
+	_, err = i.Store.Commit(context.Background(), []kv.Op{{Key: e.Key, Version: e.Version, Value: workflow.Encode(progress)}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against a gang that never ends or starts again because one member counts as done and the
 // others do not.
 var _ = Describe("a gang of which one worker reports a successful end after its runs were given up", func() {
@@ -42,3 +57,57 @@
 		Expect(c.starts(jobID(1) + ".0.0.0")).To(HaveLen(1))
 	})
 })
+
+// Guards against a new leader that goes on with a gang of which the record says that it is done.
+var _ = Describe("a gang that is done by the record of an earlier leader", func() {
+	// handOver runs a gang of two and a step after it until the gang runs, changes the record, and
+	// returns the cluster with a new leader.
+	handOver := func(change func(*workflow.StepProgress)) *cluster {
+		c := newClusterWithLease(2, 10000)
+		first := c.startInstance(nil)
+		Eventually(first.isLeader, shortTimeout).Should(BeTrue())
+		gang, next := step(2), step(1)
+		gang.Gang, gang.Accels, next.Accels, next.After = true, 8, 8, []int{0}
+		first.submit(jobID(1), workflow.Spec{Payload: "ms=5000", Steps: []workflow.Step{gang, next}})
+		for _, x := range c.workers {
+			Eventually(x.Running, shortTimeout).Should(Equal(1))
+		}
+		first.election.Resign(context.Background())
+		Eventually(first.isLeader, shortTimeout).Should(BeFalse())
+		first.rewriteProgress(jobID(1), func(p *workflow.Progress) { change(&p.Parts[0]) })
+		second := c.startInstance(nil)
+		Eventually(second.isLeader, shortTimeout).Should(BeTrue())
+		return c
+	}
+
+	It("is stopped, so that the next step has its room", func() {
+		c := handOver(func(p *workflow.StepProgress) { p.AllDone, p.Tasks = true, nil })
+		Eventually(func() int { return len(c.starts(jobID(1) + ".0.1.0")) }, 2*time.Second).Should(Equal(1))
+	})
+
+	It("is done as a whole if the record says so of one member", func() {
+		c := handOver(func(p *workflow.StepProgress) { p.Done, p.Tasks = []int{0}, p.Tasks[1:] })
+		Eventually(func() int { return len(c.starts(jobID(1) + ".0.1.0")) }, 2*time.Second).Should(Equal(1))
+	})
+
+	It("ends its job if nothing else is left of it", func() {
+		c := newCluster(2)
+		first := c.startInstance(nil)
+		Eventually(first.isLeader, shortTimeout).Should(BeTrue())
+		gang := step(2)
+		gang.Gang = true
+		first.submit(jobID(1), workflow.Spec{Payload: "ms=5000", Steps: []workflow.Step{gang}})
+		Eventually(func() workflow.State { return first.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Running))
+		first.election.Resign(context.Background())
+		Eventually(first.isLeader, shortTimeout).Should(BeFalse())
+		first.rewriteProgress(jobID(1), func(p *workflow.Progress) {
+			p.Parts[0].Done, p.Parts[0].Tasks, p.Parts[0].Places = []int{0}, nil, nil
+		})
+		for _, x := range c.workers {
+			x.Close()
+		}
+		second := c.startInstance(nil)
+		Eventually(second.isLeader, shortTimeout).Should(BeTrue())
+		Eventually(func() workflow.State { return second.state(jobID(1)) }, 2*time.Second).Should(Equal(workflow.Completed))
+	})
+})
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -109,6 +109,7 @@
 	if j.cancelled && !j.state.Final() {
 		c.cancelJob(j)
 	}
+	c.finishIfDone(j)
 }
 
 // partOf returns the part of an occurrence and a step. On first use of an occurrence it creates
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -83,8 +83,11 @@
 	case ordered, unconfirmed, inherited:
 		r.adopted = r.state == inherited
 		c.markPresent(r, now)
-		if r.task.part.job.state.Final() {
+		switch {
+		case r.task.part.job.state.Final():
 			c.stopRun(r, "its job is over")
+		case r.task.done:
+			c.stopRun(r, "its gang is done")
 		}
 	}
 	if reported.Percent != r.percent {
