planner, controller: count a gang's failures for its last attempt, and its room in full

(1) A gang that had failed on different members did not count as on its last attempt, though its job fails by the number of the gang's failures, so it could be put on workers that had just failed tasks. (2) The room that has to hold overdue work twice over left out workers that just failed tasks, if the next failure fails the job: such a gang waited although healthy workers had room for it.

Evidence: (2) the new spec failed before.

The spec 'keeps waiting for a single rack if there is no room for it twice over' asserted nothing: with its full nodes, half of the service was in use. Without them it fails if the factor of two is taken away.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -271,7 +271,11 @@
 				u.Avoid[snap.nodeIndex[n]] = true
 			}
 		}
-		u.LastAttempt = u.LastAttempt || t.failures+1 >= r.Attempts
+		failures := t.failures
+		if p.step.Gang {
+			failures = p.gangFailures
+		}
+		u.LastAttempt = u.LastAttempt || failures+1 >= r.Attempts
 	}
 	snap.unitParts = append(snap.unitParts, p)
 	snap.input.Units = append(snap.input.Units, u)
--- a/planner/overdue.go
+++ b/planner/overdue.go
@@ -29,7 +29,7 @@
 	}
 	slots := p.freeSlots(u)
 	fitting, required := 0, p.requiredTasks(u)
-	for _, count := range slots[:failingNode] {
+	for _, count := range slots {
 		fitting += count
 	}
 	if fitting < spareRoomFactor*required {
--- a/planner/overdue_test.go
+++ b/planner/overdue_test.go
@@ -68,6 +68,15 @@
 		}),
 	)
 
+	It("is started on healthy nodes if its next failure fails the job and failing nodes are free as well", func() {
+		Expect(plan(2*clock.Second, func(in *planner.Input) {
+			in.Units[0].LastAttempt, in.Units[0].SameRack = true, true
+			for n := range in.Nodes {
+				in.Nodes[n].Suspect = n > 7
+			}
+		})).To(Equal(1))
+	})
+
 	It("is not started on nodes that have recently failed tasks if its next failure fails the job", func() {
 		Expect(plan(clock.Hour, func(in *planner.Input) {
 			in.Units[0].LastAttempt = true
@@ -110,7 +119,7 @@
 		Expect(plan(2*clock.Second, func(in *planner.Input) {
 			in.Units[0].SameRack = true
 			for n := range in.Nodes {
-				in.Nodes[n].Usable = n < 9 || n%4 == 0
+				in.Nodes[n].Usable = n < 9
 			}
 		})).To(BeZero())
 	})
