controller: look soon at workers where runs are being stopped; leave unhealthy ones

What callers saw: a gang with nothing running for up to 6.7 s beside idle workers.

Cause: a worker that rejects an order as unhealthy (429 or 503) was the gang's choice again after 1 s, and again. Each time its other members were stopped before they arrived, so their workers reported no end and answered the next poll only after a sixth of the lease; until then they counted as full and the gang as running, which hides it from the planner and from the watchdog. Ruled out: the orders themselves (rejected within milliseconds).

Polls of a worker with a run that is being stopped wait no longer than a stop takes, and a worker that rejects an order as unhealthy counts as suspect, so gangs go elsewhere if they can.

--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -84,6 +84,8 @@
 	listDelay time.Duration
 	// refusedWorkers holds the IDs of the workers to which calls are refused.
 	refusedWorkers map[string]bool
+	// unhealthyWorkers holds the IDs of the workers that reject each order as unhealthy.
+	unhealthyWorkers map[string]bool
 	// loseNextAnswer discards the worker's answer to the next Start and then refuses all calls
 	// to this worker.
 	loseNextAnswer bool
@@ -138,6 +140,9 @@
 	if h.isRefused(w.ID) {
 		return "", 0, agent.ErrAbsent
 	}
+	if h.unhealthyWorkers[w.ID] {
+		return agent.Unhealthy, 0, nil
+	}
 	verdict, workerClock, err := h.WorkerClient.Start(ctx, w, o)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -20,6 +20,9 @@
 	// pollsPerLease is the minimum number of polls, each of which renews the lease, in the
 	// duration of one lease.
 	pollsPerLease = 6
+	// stopPollMargin is how much longer than a stop takes the answer to a poll may be delayed
+	// while a run is being stopped.
+	stopPollMargin = clock.Millis(1)
 	// pollTimeout is the timeout of a poll beyond the delay that the poll allows.
 	pollTimeout = 1200 * clock.Millisecond
 	// heartbeatsBeforeExpiry is the number of heartbeat intervals after a worker's last answer
@@ -274,6 +277,10 @@
 		if n.hasNewRun(now) {
 			request.Wait = min(request.Wait, newRunPollWait)
 		}
+		if n.hasStoppingRun() {
+			// The worker reports no end of a run that never arrived there.
+			request.Wait = min(request.Wait, c.opts.Limits().Stop+stopPollMargin)
+		}
 	}
 	n.polling, n.pollDue = true, now+request.Wait
 	term, worker := c.term, n.worker
@@ -311,6 +318,16 @@
 	return false
 }
 
+// hasStoppingRun reports whether a run on the worker is being stopped.
+func (n *node) hasStoppingRun() bool {
+	for r := range n.runs {
+		if r.state == stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // needsImmediateAnswer reports whether a poll must be answered without delay, because it is not
 // known whether a run is present on the worker, or because unknown runs are being stopped.
 func (n *node) needsImmediateAnswer() bool {
--- a/controller/overdue_test.go
+++ b/controller/overdue_test.go
@@ -56,3 +56,38 @@
 		Eventually(started(c), 3*time.Second-time.Since(accepted)).Should(Equal(1))
 	})
 })
+
+// Guards against a gang that is placed on the same unhealthy workers again and again, and whose runs
+// that never arrived are counted as present for seconds after they were stopped.
+var _ = Describe("a gang beside workers that reject every order", func() {
+	It("starts on the other workers within 3 s", func() {
+		c := newClusterWithLease(5, 10000)
+		i := c.startInstance(func(h *hooks) { h.unhealthyWorkers = map[string]bool{"i-0": true, "i-1": true} })
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		members := step(3)
+		members.Gang, members.Accels = true, 8
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{members}})
+		Eventually(func() int {
+			running := 0
+			for _, x := range c.workers {
+				running += x.Running()
+			}
+			return running
+		}, 3*time.Second).Should(Equal(3))
+	})
+})
+
+// Guards against work that waits for 6 s because the only worker that can run it is in quarantine.
+var _ = Describe("a task whose only worker has failed tasks of three other jobs", func() {
+	It("starts within 3 s", func() {
+		c := newClusterWithLease(1, 10000)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		for n := range 3 {
+			i.submit(jobID(10+n), workflow.Spec{Payload: "ms=50 fails=9", Steps: []workflow.Step{step(1)}})
+			Eventually(func() workflow.State { return i.state(jobID(10 + n)) }, 2*leaseTimeout).Should(Equal(workflow.Failed))
+		}
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		Eventually(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, 3*time.Second).Should(Equal(1))
+	})
+})
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -126,7 +126,7 @@
 		c.opts.Log.WithFields(r.logFields()).WithField("verdict", string(verdict)).Warn("controller: order rejected")
 		c.opts.Counters.Counter(`chestnutsail_orders_rejected_total{verdict="` + string(verdict) + `"}`).Inc()
 		if verdict == agent.Unhealthy {
-			r.node.noWorkUntil = now + unhealthyDelay
+			r.node.noWorkUntil, r.node.suspectUntil = now+unhealthyDelay, now+suspectDuration
 		}
 		if verdict == agent.Full {
 			r.node.pollAnswered = false
