--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -1,5 +1,7 @@
 package planner
 
+import "slices"
+
 // obstacle is what keeps a unit from a node, regardless of the free resources there. A higher value
 // is a stronger reason.
 type obstacle int
@@ -26,13 +28,13 @@
 func (p *plan) obstacle(u *Unit, n int) obstacle {
 	node := &p.Nodes[n]
 	switch {
-	case !node.Usable || node.Service != u.Service || !node.hasLabel(u.Label):
+	case !node.suits(u):
 		return unsuitableNode
 	case node.Suspect && u.LastAttempt:
 		return failingNode
 	case u.Avoid[n]:
 		return avoidedNode
-	case (node.Suspect || node.Slow) && (u.LastAttempt || u.Gang):
+	case node.unhealthyFor(u):
 		return unhealthyNode
 	case p.reserved[n]:
 		return reservedNode
@@ -42,14 +44,14 @@
 	return noObstacle
 }
 
-// healthy reports whether the node with index n may run tasks of a unit, regardless of what other
-// units need it for and of earlier failures of the unit's tasks there.
-func (p *plan) healthy(u *Unit, n int) bool {
-	node := &p.Nodes[n]
-	if (node.Suspect || node.Slow) && (u.LastAttempt || u.Gang) {
-		return false
-	}
-	return node.Usable && node.Service == u.Service && node.hasLabel(u.Label)
+// suits reports whether a node can run tasks of a unit if it has enough free resources.
+func (n *Node) suits(u *Unit) bool {
+	return n.Usable && n.Service == u.Service && (u.Label == "" || slices.Contains(n.Labels, u.Label))
+}
+
+// unhealthyFor reports whether a node was slow or had task failures too recently for a unit.
+func (n *Node) unhealthyFor(u *Unit) bool {
+	return (n.Suspect || n.Slow) && (u.LastAttempt || u.Gang)
 }
 
 // freeSlots returns how many tasks of a unit fit into the free resources, by the obstacle that keeps
--- a/planner/overdue.go
+++ b/planner/overdue.go
@@ -8,7 +8,7 @@
 	// which recording and ordering the start take a part.
 	maxHold = 2 * clock.Second
 	// spareRoomFactor is how many times over a unit must fit into the free resources for that
-	// limit to hold. Otherwise it would take the room that a gang needs which waits for longer.
+	// limit to hold: with less room, it might take what a gang needs that has waited for longer.
 	spareRoomFactor = 2
 )
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -22,8 +22,8 @@
 		}
 		missing := p.requiredTasks(u)
 		for n := range p.Nodes {
-			if !u.Avoid[n] && p.healthy(u, n) {
-				missing -= p.slots(u, n, p.Nodes[n].Capacity)
+			if node := &p.Nodes[n]; !u.Avoid[n] && node.suits(u) && !node.unhealthyFor(u) {
+				missing -= p.slots(u, n, node.Capacity)
 			}
 		}
 		if missing > 0 {
@@ -32,9 +32,6 @@
 	}
 }
 
-// hasLabel reports whether a node has a label. The empty label matches every node.
-func (n *Node) hasLabel(label string) bool { return label == "" || slices.Contains(n.Labels, label) }
-
 // slots returns how many tasks of a unit fit into the available resources of the node with index
 // n, within the unit's limit for each worker.
 func (p *plan) slots(u *Unit, n int, available Shape) int {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -129,10 +129,10 @@
 	PerWorker   int
 	TasksOnNode map[int]int
 	// Avoid marks the nodes on which tasks of the unit have failed before. It is ignored if the
-	// unit would not fit on the other nodes.
+	// unit would not fit on the other nodes or has waited for too long.
 	Avoid map[int]bool
-	// LastAttempt units have a task whose next failure fails the whole job. They are not placed
-	// on suspect or slow nodes.
+	// LastAttempt units have a task whose next failure fails the whole job. They are never placed
+	// on suspect nodes, and on slow ones only if they have waited for too long.
 	LastAttempt bool
 	// Lasting units have tasks that run until their job is cancelled.
 	Lasting bool
@@ -177,8 +177,8 @@
 }
 
 // Start places tasks of a unit. Unit is the index in Input.Units. Nodes has one entry for each
-// started task: the index of its node in Input.Nodes. Despite is what would have kept the unit waiting
-// if it had not waited for too long already, and "" for other units.
+// started task: the index of its node in Input.Nodes. Despite is what would have kept the unit
+// waiting for longer, if it was placed because it had waited for too long; "" for other units.
 type Start struct {
 	Unit    int
 	Nodes   []int
--- a/planner/stuck.go
+++ b/planner/stuck.go
@@ -1,12 +1,7 @@
 package planner
 
-const (
-	// stuckRoomFactor is how many times over a unit must fit into the free resources to be reported
-	// as stuck.
-	stuckRoomFactor = 2
-	// maxStuckUnits is the largest number of units that one plan reports as stuck.
-	maxStuckUnits = 8
-)
+// maxStuckUnits is the largest number of units that one plan reports as stuck.
+const maxStuckUnits = 8
 
 // Cause is the reason why a unit waits although there are free resources for its tasks.
 type Cause string
@@ -55,7 +50,7 @@
 func (s *Stuck) Slots() int { return s.Free + s.Reserved + s.Headroom + s.Avoided + s.Unhealthy }
 
 // recordIfStuck adds a blocked unit to the stuck units of the plan if it has waited for long enough
-// and the free resources would be enough for it.
+// and fits spareRoomFactor times over into the free resources.
 func (p *plan) recordIfStuck(i int) {
 	u := &p.Units[i]
 	if p.StuckAfter == 0 || u.Waited < p.StuckAfter || len(p.out.Stuck) == maxStuckUnits {
@@ -66,7 +61,7 @@
 		Unit: i, Usage: p.usages[u.Service].share(), Free: slots[noObstacle], Reserved: slots[reservedNode], Headroom: slots[urgentOnlyNode],
 		Avoided: slots[avoidedNode], Unhealthy: slots[unhealthyNode] + slots[failingNode],
 	}
-	if s.Slots() >= stuckRoomFactor*p.requiredTasks(u) {
+	if s.Slots() >= spareRoomFactor*p.requiredTasks(u) {
 		s.Cause = p.waitCause(u, slots)
 		p.out.Stuck = append(p.out.Stuck, s)
 	}
