--- a/controller/gangdone_test.go
+++ b/controller/gangdone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,7 @@
 
 	"github.com/chestnutsail/chestnutsail/board"
 	"github.com/chestnutsail/chestnutsail/kv"
+	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -24,8 +26,7 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
-// Guards against a gang that never ends or starts again because one member counts as done and the
-// others do not.
+// Guards against a gang that is never planned again because only one of its members counts as done.
 var _ = Describe("a gang of which one worker reports a successful end after its runs were given up", func() {
 	It("is completed although the other worker has lost its end", func() {
 		c := newCluster(2)
@@ -58,6 +59,48 @@
 	})
 })
 
+// Guards against a later run of a gang that goes on although an earlier run was done.
+var _ = Describe("a gang that runs anew when an earlier run turns out to be done", func() {
+	It("is stopped and completed", func() {
+		c := newCluster(4)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		wholeWorker := step(2)
+		wholeWorker.Gang, wholeWorker.Accels = true, 8
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=1200", Steps: []workflow.Step{wholeWorker}})
+		runs := func(number int) []platformtest.Start {
+			return slices.DeleteFunc(append(c.starts(jobID(1)+".0.0.0"), c.starts(jobID(1)+".0.0.1")...), func(s platformtest.Start) bool { return s.Run != number })
+		}
+		Eventually(func() int { return len(runs(1)) }, shortTimeout).Should(Equal(2))
+		earlier := runs(1)
+		setReachable := func(reachable bool, starts ...platformtest.Start) {
+			for _, x := range c.workers {
+				for _, start := range starts {
+					if start.Worker == x.ID() {
+						x.DropCalls(!reachable)
+					}
+				}
+			}
+		}
+		setReachable(false, earlier...)
+		Eventually(func() int { return len(runs(2)) }, leaseTimeout, 5*time.Millisecond).Should(Equal(2))
+		setReachable(true, earlier[0])
+		Eventually(func() workflow.State { return i.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Completed))
+		Eventually(func() []string {
+			var outcomes []string
+			for _, x := range c.workers {
+				for _, interval := range x.History() {
+					if interval.Run == 2 {
+						outcomes = append(outcomes, interval.Outcome)
+					}
+				}
+			}
+			return outcomes
+		}, shortTimeout).Should(Equal([]string{"stopped", "stopped"}))
+		Consistently(func() int { return len(runs(3)) }, 300*time.Millisecond).Should(BeZero())
+	})
+})
+
 // Guards against a new leader that goes on with a gang of which the record says that it is done.
 var _ = Describe("a gang that is done by the record of an earlier leader", func() {
 	// handOver runs a gang of two and a step after it until the gang runs, changes the record, and
--- a/controller/overdue_test.go
+++ b/controller/overdue_test.go
@@ -57,8 +57,7 @@
 	})
 })
 
-// Guards against a gang that is placed on the same unhealthy workers again and again, and whose runs
-// that never arrived are counted as present for seconds after they were stopped.
+// Guards against a gang that is placed on the same unhealthy workers again and again.
 var _ = Describe("a gang beside workers that reject every order", func() {
 	It("starts on the other workers within 3 s", func() {
 		c := newClusterWithLease(5, 10000)
--- a/planner/overdue_test.go
+++ b/planner/overdue_test.go
@@ -11,13 +11,11 @@
 	"github.com/chestnutsail/chestnutsail/planner"
 )
 
-// Guards against work with nothing running although it could run: each reason to keep it waiting has
-// to end within the 3 s that the platform allows while under half of the service is in use.
+// Guards against reasons to keep work waiting that last longer than the 3 s that the platform allows.
 var _ = Describe("work that has waited for 2 s while under half of the service is in use", func() {
 	wholeWorkerTask := planner.Shape{Cores: 8000, Memory: 1000, Accels: 8}
 
-	// plan returns the number of starts of a gang of four that has waited, on six racks of four
-	// workers of which one or more in each rack are full.
+	// plan returns the number of starts of a gang of four on six racks of four workers, one of each full.
 	plan := func(waited clock.Millis, change func(in *planner.Input)) int {
 		s := newCluster(6, 4)
 		in, _, _ := s.input()
