controller: log what shows that a run has ended, and runs that outlive it

The users' record shows that a leader took a run for ended while its worker was at work on it, and not why: the lines of a lost run named its worker at best. Each run that is given up without a reported end now has a line with the evidence, the age of the worker's last answer and the rest of its lease, and a counter a kind of evidence. If its worker later reports the run as present, or an end of it, an error names the evidence that was wrong, and chestnutsail_runs_survived_total counts it. No logic changes.

--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -41,9 +41,9 @@
 // endIncarnation handles the end of a worker's process, which ends all runs there. It resets
 // what is known of the worker; workerStart is the start time of the new process, or 0 if that
 // is unknown.
-func (c *Controller) endIncarnation(n *node, workerStart clock.Millis, reason string) {
+func (c *Controller) endIncarnation(n *node, workerStart clock.Millis, reason evidence) {
 	if len(n.runs) > 0 || n.pollAnswered {
-		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "reason": reason, "born": int64(workerStart)}).Warn("controller: worker process has ended")
+		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "reason": string(reason), "born": int64(workerStart)}).Warn("controller: worker process has ended")
 	}
 	n.workerStart, n.pollAnswered, n.handledEnd, n.ackedEnd, n.unackedEnds = workerStart, false, 0, 0, nil
 	n.clock, n.clockReadAt, n.leasedUntil, n.lastAnswer, n.slowUntil, n.failing, n.connClosedAt = 0, 0, 0, 0, 0, false, 0
@@ -56,7 +56,7 @@
 			c.stopRun(r, "its worker has started anew")
 			continue
 		}
-		c.removeRun(r, agent.LeaseExpired, "")
+		c.removeRun(r, agent.LeaseExpired, reason, "")
 	}
 	c.planNeeded = true
 }
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -66,6 +66,8 @@
 	checkpoint        string
 	checkpointPercent int
 	run               *run
+	// removed is the last run that was removed.
+	removed removal
 	// restarts is the number of runs that were stopped because they or their gang stalled.
 	restarts int
 	// failedOn holds the IDs of the workers on which the task has failed.
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -185,7 +185,7 @@
 	}
 	n.worker, n.listed, n.deregistered = worker, true, false
 	if (worker.StartedAt != 0 && n.workerStart != 0 && worker.StartedAt > n.workerStart) || moved {
-		c.endIncarnation(n, worker.StartedAt, "the worker's entry has a new address or start time")
+		c.endIncarnation(n, worker.StartedAt, entryReplaced)
 	}
 	if c.workersListed && !n.pollAnswered {
 		c.poll(n)
@@ -353,11 +353,11 @@
 	}
 	switch {
 	case errors.Is(err, agent.ErrReplaced):
-		c.endIncarnation(n, 0, "another instance answers at its address")
+		c.endIncarnation(n, 0, instanceChanged)
 	case errors.Is(err, agent.ErrClosed):
 		n.connClosedAt = now
 	case errors.Is(err, agent.ErrAbsent) && n.processEnded(now):
-		c.endIncarnation(n, n.workerStart, "the worker's process has exited: it closed a connection in use, and its address refuses connections")
+		c.endIncarnation(n, n.workerStart, connClosed)
 	}
 }
 
@@ -368,12 +368,12 @@
 		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "leased": int64(n.leasedUntil), "silent_ms": int64(now - n.lastAnswer)}).Warn("controller: leases of an unresponsive worker have expired")
 		clear(n.unknownRuns)
 		for r := range n.runs {
-			c.removeRun(r, agent.LeaseExpired, "")
+			c.removeRun(r, agent.LeaseExpired, leaseExpired, "")
 		}
 		n.pollAnswered = false
 	}
 	if n.hasExited(now) && (len(n.runs) > 0 || len(n.unknownRuns) > 0) {
-		c.endIncarnation(n, 0, "the worker has drained, removed its entry and no longer answers")
+		c.endIncarnation(n, 0, drainedAndGone)
 	}
 	if n.listed && n.worker.State == agent.Draining {
 		c.stopUnfinishableRuns(n, now)
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -36,7 +36,7 @@
 	r.resumed = order.Checkpoint != ""
 	if order.Lease == 0 {
 		c.opts.Log.WithFields(r.logFields()).Info("controller: run not ordered; its worker stopped answering after the plan was made")
-		c.removeRun(r, agent.LeaseExpired, "")
+		c.removeRun(r, agent.LeaseExpired, notOrdered, "")
 		return
 	}
 	if c.firstOrderPending {
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if report.StartedAt != 0 && n.workerStart != 0 && report.StartedAt != n.workerStart {
-		c.endIncarnation(n, report.StartedAt, "the worker has restarted")
+		c.endIncarnation(n, report.StartedAt, restartReported)
 	}
 	if n.workerStart == 0 {
 		n.workerStart = report.StartedAt
@@ -73,6 +73,9 @@
 		}
 		n.unknownRuns[unknown] = true
 		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "task": unknown.task.String(), "run": unknown.run}).Warn("controller: stopping an unknown run")
+		if p := c.partOfTask(c.jobs[unknown.task.Job], unknown.task); p != nil {
+			c.checkSurvivor(p.tasks[unknown.task.Index], n, unknown.run, "")
+		}
 		c.sendStop(n, unknown, func() bool { return n.unknownRuns[unknown] }, func() {})
 	}
 }
@@ -104,18 +107,18 @@
 	case present, unconfirmed:
 		if sent > r.stateSince {
 			c.opts.Log.WithFields(r.logFields()).Warn("controller: run is no longer on its worker")
-			c.removeRun(r, agent.LeaseExpired, "")
+			c.removeRun(r, agent.LeaseExpired, notReported, "")
 		}
 	case stopping:
 		// The worker may still carry out the order to start the run until it confirms the stop.
 		if r.stopConfirmed > 0 && sent > r.stopConfirmed+c.opts.Limits().Stop {
-			c.removeRun(r, agent.Stopped, "")
+			c.removeRun(r, agent.Stopped, notReported, "")
 		}
 	case inherited:
 		// The order of the earlier leader did not arrive, and the worker rejects it from now
 		// on because of its lower fence. Other runs may have taken the room since, so the
 		// task waits to be placed again.
-		c.removeRun(r, agent.Stopped, "")
+		c.removeRun(r, agent.Stopped, notReported, "")
 	}
 }
 
@@ -138,6 +141,9 @@
 		"job": j.id, "task": e.Task.String(), "run": e.Run, "worker": n.id, "how": string(e.Reason), "number": e.Number, "current": current,
 	}).Info("controller: run has ended")
 	c.opts.Counters.Counter(`chestnutsail_ends_total{how="` + string(e.Reason) + `"}`).Inc()
+	if !current {
+		c.checkSurvivor(t, n, e.Run, e.Reason)
+	}
 	switch {
 	case e.Reason == agent.Done:
 		c.completeTask(n, t, r, current, e)
@@ -172,7 +178,7 @@
 	}
 	if p.step.UntilCancelled {
 		if current {
-			c.removeRun(r, e.Reason, "")
+			c.removeRun(r, e.Reason, endReported, "")
 		}
 		return
 	}
@@ -190,7 +196,7 @@
 			c.stopRun(later, "its gang is done")
 		}
 	} else if r != nil && (current || r.state == planned || r.state == recording) {
-		c.removeRun(r, agent.Done, "")
+		c.removeRun(r, agent.Done, endReported, "")
 	}
 	c.markChanged(p.job)
 }
@@ -207,7 +213,7 @@
 			p.gangFailures++
 		}
 	}
-	c.removeRun(r, e.Reason, e.Checkpoint)
+	c.removeRun(r, e.Reason, endReported, e.Checkpoint)
 	if p.job.state.Final() || t.done {
 		return
 	}
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -109,7 +109,7 @@
 		// network partition between two failure domains.
 		r.node.failing = true
 		c.opts.Log.WithFields(r.logFields()).Warn("controller: order not delivered")
-		c.removeRun(r, agent.Stopped, "")
+		c.removeRun(r, agent.Stopped, notDelivered, "")
 	case err != nil:
 		r.node.failing, r.orderUnanswered = true, true
 		c.opts.Log.WithError(err).WithFields(r.logFields()).Warn("controller: no answer to an order; it will be sent again")
@@ -118,7 +118,7 @@
 		c.markPresent(r, now)
 		c.poll(r.node)
 	case verdict == agent.Replaced:
-		c.endIncarnation(r.node, 0, "another instance answers at its address")
+		c.endIncarnation(r.node, 0, instanceChanged)
 	case verdict == agent.Stale:
 		r.setState(unconfirmed, now)
 		c.poll(r.node)
@@ -137,7 +137,7 @@
 			c.stopRun(r, "its order was rejected")
 			return
 		}
-		c.removeRun(r, agent.Stopped, "")
+		c.removeRun(r, agent.Stopped, orderRejected, "")
 	}
 }
 
@@ -157,7 +157,7 @@
 func (c *Controller) stopRun(r *run, reason string) {
 	switch r.state {
 	case planned:
-		c.removeRun(r, agent.Stopped, "")
+		c.removeRun(r, agent.Stopped, notOrdered, "")
 		return
 	case stopping:
 		return
@@ -170,7 +170,7 @@
 	c.opts.Log.WithFields(r.logFields()).WithFields(logrus.Fields{"reason": reason, "lost_core_s": int64(lost)}).Info("controller: stopping a run")
 	if r.state == recording {
 		// The order has not been sent yet, and onFlushed skips runs that were removed.
-		c.removeRun(r, agent.Stopped, "")
+		c.removeRun(r, agent.Stopped, notOrdered, "")
 		return
 	}
 	r.setState(stopping, c.opts.Clock.Now())
@@ -221,15 +221,17 @@
 	}()
 }
 
-// removeRun removes a run that has ended from its worker. Its task waits for a new run unless it
+// removeRun removes a run that has ended from its worker, as shownBy shows. Its task waits for a new run unless it
 // is done. If a member of a gang ended without success, the rest of the gang is stopped.
-func (c *Controller) removeRun(r *run, reason agent.EndReason, checkpoint string) {
+func (c *Controller) removeRun(r *run, reason agent.EndReason, shownBy evidence, checkpoint string) {
 	t := r.task
 	delete(r.node.runs, r)
 	if t.run != r {
 		return
 	}
-	t.run = nil
+	now := c.opts.Clock.Now()
+	c.logRemoval(r, shownBy, now)
+	t.run, t.removed = nil, removal{number: r.number, node: r.node, evidence: shownBy, at: now}
 	if checkpoint != "" {
 		t.checkpoint, t.checkpointPercent = checkpoint, r.percent
 	}
