--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -86,6 +86,8 @@
 	refusedWorkers map[string]bool
 	// unhealthyWorkers holds the IDs of the workers that reject each order as unhealthy.
 	unhealthyWorkers map[string]bool
+	// misdirectedWorkers holds the IDs of the workers at whose address another instance answers.
+	misdirectedWorkers map[string]bool
 	// loseNextAnswer discards the worker's answer to the next Start and then refuses all calls
 	// to this worker.
 	loseNextAnswer bool
@@ -136,7 +138,22 @@
 	return h.refusedWorkers[id]
 }
 
+func (h *hooks) setMisdirected(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.misdirectedWorkers[id] = true
+}
+
+func (h *hooks) isMisdirected(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.misdirectedWorkers[id]
+}
+
 func (h *hooks) Start(ctx context.Context, w agent.Worker, o agent.Order) (agent.Verdict, clock.Millis, error) {
+	if h.isMisdirected(w.ID) {
+		return agent.Replaced, 0, nil
+	}
 	if h.isRefused(w.ID) {
 		return "", 0, agent.ErrAbsent
 	}
@@ -157,6 +174,9 @@
 var errAnswerLost = errors.New("answer lost")
 
 func (h *hooks) Renew(ctx context.Context, w agent.Worker, r agent.Renewal) (agent.Report, error) {
+	if h.isMisdirected(w.ID) {
+		return agent.Report{}, agent.ErrReplaced
+	}
 	if h.isRefused(w.ID) {
 		return agent.Report{}, agent.ErrAbsent
 	}
@@ -193,7 +213,7 @@
 	i := &instance{
 		hooks: &hooks{
 			Store: platform.NewStore(platform.StoreOptions{Address: c.store.Address()}), WorkerClient: platform.NewWorkerClient(),
-			refusedWorkers: make(map[string]bool),
+			refusedWorkers: make(map[string]bool), misdirectedWorkers: make(map[string]bool),
 		},
 		board: board.New(nil),
 		logs:  logtest.NewLocal(log),
