controller: don't take a cut that closes connections for the end of a worker

Callers saw tasks run twice at once. A worker that closed a connection on which a poll waited, and refused the next one within 2 s, counted as a process that has exited, and its runs were placed elsewhere at once. A proxy, a firewall or a kernel on the path does the same while the worker runs on, on all links of the leader at a time if its own are cut. So a run now ends by its worker's answer or the lapse of its lease. What is seen from outside only stops the renewal of the lease, so that it lapses at the soonest.

Price: the runs of a worker that really exits wait for the rest of its lease.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -183,13 +183,11 @@
 	Remaining clock.Millis
 }
 
-// Errors of a call which mean that the addressed worker instance is gone.
+// Errors of a call that did not reach the addressed worker instance. They don't prove that the
+// instance has ended: what lies on the path may refuse connections or answer in its place.
 var (
-	// ErrAbsent means that no process listens at a worker's address.
-	ErrAbsent = errors.New("agent: no process at the worker's address")
-	// ErrClosed means that the worker closed the connection in an orderly way instead of
-	// answering a call in progress, as a process does when it exits.
-	ErrClosed = errors.New("agent: connection closed by the worker during a call")
+	// ErrAbsent means that the connection to the worker's address was refused.
+	ErrAbsent = errors.New("agent: connection to the worker's address refused")
 	// ErrReplaced means that another worker instance answers at the address.
 	ErrReplaced = errors.New("agent: another instance at the worker's address")
 )
--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -28,7 +28,6 @@
 	restartReported evidence = "the worker has restarted"
 	entryReplaced   evidence = "the worker's entry has a new address or start time"
 	instanceChanged evidence = "another instance answers at its address"
-	connClosed      evidence = "the worker's process has exited: it closed a connection in use, and its address refuses connections"
 	drainedAndGone  evidence = "the worker has drained, removed its entry and no longer answers"
 )
 
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -7,19 +7,6 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
-// maxExitDelay is the maximum time in milliseconds between a worker closing a connection and
-// its address refusing a new one, if the reason is that the worker's process has exited.
-const maxExitDelay = 2 * clock.Second
-
-// processEnded reports whether the process of a worker that refuses connections has ended:
-// shortly before, the worker must have closed a connection. Neither sign is enough by itself.
-// During a network partition new connections may be refused as well, and a running worker may
-// close old connections. But a partition drops or resets the connections in use; it does not
-// close them.
-func (n *node) processEnded(now clock.Millis) bool {
-	return n.connClosedAt != 0 && now-n.connClosedAt < maxExitDelay
-}
-
 // markUnlisted handles the removal of a worker's entry from the store. An entry expires three
 // heartbeat intervals after the last heartbeat. If it disappears sooner, the worker itself has
 // removed it.
@@ -46,7 +33,7 @@
 		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "reason": string(reason), "born": int64(workerStart)}).Warn("controller: worker process has ended")
 	}
 	n.workerStart, n.pollAnswered, n.handledEnd, n.ackedEnd, n.unackedEnds = workerStart, false, 0, 0, nil
-	n.clock, n.clockReadAt, n.leasedUntil, n.lastAnswer, n.slowUntil, n.failing, n.connClosedAt = 0, 0, 0, 0, 0, false, 0
+	n.clock, n.clockReadAt, n.leasedUntil, n.lastAnswer, n.slowUntil, n.failing, n.refusing = 0, 0, 0, 0, 0, false, false
 	clear(n.unknownRuns)
 	for r := range n.runs {
 		if r.orderUnanswered && r.state == ordered {
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -72,9 +72,8 @@
 	lastAnswer  clock.Millis
 	// failing reports whether a call has failed since the worker last answered.
 	failing bool
-	// connClosedAt is when the worker closed a connection on which a poll was waiting; 0 if
-	// that has not happened since its last answer.
-	connClosedAt clock.Millis
+	// refusing reports whether a poll was refused since the worker last answered.
+	refusing bool
 	// clock is the worker's clock in its last answer, which arrived at clockReadAt on the
 	// leader's clock; both are 0 before the first answer.
 	clock       clock.Millis
@@ -213,10 +212,12 @@
 }
 
 // nextLease returns the end, on the worker's clock, of the lease to request, and remembers it
-// in leasedUntil. It returns 0 if the lease must not be renewed.
+// in leasedUntil. It returns 0 if the lease must not be renewed. The lease of a worker that refuses
+// connections is not renewed, because its process may have ended: the sooner the lease expires, the
+// sooner its runs can be placed again.
 func (c *Controller) nextLease(n *node) clock.Millis {
 	now := c.opts.Clock.Now()
-	if n.clockReadAt == 0 || n.tooSilent(now) {
+	if n.clockReadAt == 0 || n.refusing || n.tooSilent(now) {
 		return 0
 	}
 	until := n.estimatedClock(now, 1) + c.opts.Limits().Lease
@@ -233,7 +234,7 @@
 // recordAnswer notes the time of a worker's answer and the worker's clock in it, and resets the signs
 // of a failure.
 func (n *node) recordAnswer(workerClock, now clock.Millis) {
-	n.clock, n.clockReadAt, n.lastAnswer, n.failing, n.connClosedAt = workerClock, now, now, false, 0
+	n.clock, n.clockReadAt, n.lastAnswer, n.failing, n.refusing = workerClock, now, now, false, false
 }
 
 // leasesExpired reports whether all leases of a worker have certainly expired, so that no run
@@ -354,10 +355,8 @@
 	switch {
 	case errors.Is(err, agent.ErrReplaced):
 		c.endIncarnation(n, 0, instanceChanged)
-	case errors.Is(err, agent.ErrClosed):
-		n.connClosedAt = now
-	case errors.Is(err, agent.ErrAbsent) && n.processEnded(now):
-		c.endIncarnation(n, n.workerStart, connClosed)
+	case errors.Is(err, agent.ErrAbsent):
+		n.refusing = true
 	}
 }
 
