controller: don't take another instance at a worker's address for its end

Callers saw a task run twice at once: an address that is answered by another instance (a call that goes astray, an address given again while the worker is cut off) ended all runs of the worker at once. Such an answer shows that this call did not reach the worker and nothing more, so it is now an error like a refused connection: an order without an earlier copy was not delivered, and the lease is not renewed until the worker itself answers.

The verdict agent.Replaced is gone; the spec of the client asks for agent.ErrReplaced in its place, for starts as for renewals.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -84,8 +84,6 @@
 	Full Verdict = "full"
 	// Unlicensed means that the ticket is not valid.
 	Unlicensed Verdict = "unlicensed"
-	// Replaced means that another worker instance now answers at the address.
-	Replaced Verdict = "replaced"
 	// Invalid means that the worker could not parse the order.
 	Invalid Verdict = "invalid"
 	// Unhealthy means that the worker currently can't carry out any order.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -40,8 +40,8 @@
 	List(ctx context.Context, prefix string) ([]kv.Entry, uint64, error)
 }
 
-// Workers sends requests to workers. After an error other than agent.ErrAbsent, the worker
-// may have carried the request out.
+// Workers sends requests to workers. After an error other than agent.ErrAbsent and
+// agent.ErrReplaced, the worker may have carried the request out.
 //
 // Start orders a run to start and returns the worker's verdict and clock. Stop stops a run and
 // makes the worker reject a later order to start it. Renew renews the lease of all runs on a
--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -27,7 +27,6 @@
 	// The others mean that the worker's process has ended.
 	restartReported evidence = "the worker has restarted"
 	entryReplaced   evidence = "the worker's entry has a new address or start time"
-	instanceChanged evidence = "another instance answers at its address"
 	drainedAndGone  evidence = "the worker has drained, removed its entry and no longer answers"
 )
 
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -152,7 +152,7 @@
 
 func (h *hooks) Start(ctx context.Context, w agent.Worker, o agent.Order) (agent.Verdict, clock.Millis, error) {
 	if h.isMisdirected(w.ID) {
-		return agent.Replaced, 0, nil
+		return "", 0, agent.ErrReplaced
 	}
 	if h.isRefused(w.ID) {
 		return "", 0, agent.ErrAbsent
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -72,7 +72,8 @@
 	lastAnswer  clock.Millis
 	// failing reports whether a call has failed since the worker last answered.
 	failing bool
-	// refusing reports whether a poll was refused since the worker last answered.
+	// refusing reports whether a call was refused, or was answered by another instance, since the
+	// worker last answered.
 	refusing bool
 	// clock is the worker's clock in its last answer, which arrived at clockReadAt on the
 	// leader's clock; both are 0 before the first answer.
@@ -352,14 +353,16 @@
 	if n.worker.Address != worker.Address {
 		return
 	}
-	switch {
-	case errors.Is(err, agent.ErrReplaced):
-		c.endIncarnation(n, 0, instanceChanged)
-	case errors.Is(err, agent.ErrAbsent):
+	if isRefusal(err) {
 		n.refusing = true
 	}
 }
 
+// isRefusal reports whether a call failed because it certainly did not reach the worker.
+func isRefusal(err error) bool {
+	return errors.Is(err, agent.ErrAbsent) || errors.Is(err, agent.ErrReplaced)
+}
+
 // checkNodeTimeouts does the checks of a worker that depend on time: it gives up runs whose leases
 // have expired, stops runs that can't finish on a draining worker, and polls the worker.
 func (c *Controller) checkNodeTimeouts(n *node, now clock.Millis) {
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/sirupsen/logrus"
 
@@ -103,12 +102,10 @@
 		r.node.recordAnswer(workerClock, now)
 	}
 	switch {
-	case errors.Is(err, agent.ErrAbsent) && !r.orderUnanswered:
-		// A refused connection proves that the order was not delivered. It doesn't prove
-		// that the worker's process has ended: connections may also be refused during a
-		// network partition between two failure domains.
-		r.node.failing = true
-		c.opts.Log.WithFields(r.logFields()).Warn("controller: order not delivered")
+	case isRefusal(err) && !r.orderUnanswered:
+		// The order was not delivered. That doesn't prove that the worker's process has ended.
+		r.node.failing, r.node.refusing = true, true
+		c.opts.Log.WithError(err).WithFields(r.logFields()).Warn("controller: order not delivered")
 		c.removeRun(r, agent.Stopped, notDelivered, "")
 	case err != nil:
 		r.node.failing, r.orderUnanswered = true, true
@@ -117,8 +114,6 @@
 	case verdict == agent.Accepted:
 		c.markPresent(r, now)
 		c.poll(r.node)
-	case verdict == agent.Replaced:
-		c.endIncarnation(r.node, 0, instanceChanged)
 	case verdict == agent.Stale:
 		r.setState(unconfirmed, now)
 		c.poll(r.node)
