controller: don't take a drained worker whose entry is gone for exited

Callers saw a task run twice at once: a draining worker's entry went although the worker had answered a short while before, a call to it failed, and its runs were placed elsewhere. An entry also expires while the worker is cut off from the store alone, and answers tell nothing of its heartbeats. Such a worker's runs now wait for its answer or the lapse of its lease, like any other's.

The worker's heartbeat interval has no reader left.

Price: what still runs on a worker that exits waits for the rest of its lease.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,8 +61,6 @@
 	Stop clock.Millis
 	// Restore is the longest time that a run takes to resume from a checkpoint.
 	Restore clock.Millis
-	// HeartbeatInterval is the interval between two heartbeats of a worker.
-	HeartbeatInterval clock.Millis
 	// Retention is how long the state of a finished job is kept; 0 keeps it forever.
 	Retention clock.Millis
 }
--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -27,7 +27,6 @@
 	// The others mean that the worker's process has ended.
 	restartReported evidence = "the worker has restarted"
 	entryReplaced   evidence = "the worker's entry has a new address or start time"
-	drainedAndGone  evidence = "the worker has drained, removed its entry and no longer answers"
 )
 
 // removal is what the leader remembers of the last run of a task that it removed.
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -7,22 +7,14 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
-// markUnlisted handles the removal of a worker's entry from the store. An entry expires three
-// heartbeat intervals after the last heartbeat. If it disappears sooner, the worker itself has
-// removed it.
+// markUnlisted handles the removal of a worker's entry from the store. The worker's process may go
+// on: entries also expire while the worker can't reach the store.
 func (c *Controller) markUnlisted(n *node, now clock.Millis) {
 	if !n.listed {
 		return
 	}
 	n.listed = false
-	n.deregistered = n.worker.State == agent.Draining && now-n.lastAnswer < heartbeatsBeforeExpiry*c.opts.Limits().HeartbeatInterval
-	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "resigned": n.deregistered, "silent_ms": int64(now - n.lastAnswer)}).Info("controller: worker no longer listed")
-}
-
-// hasExited reports whether a draining worker has exited: it removed its own entry, the earliest
-// time at which it exits has passed, and it no longer answers.
-func (n *node) hasExited(now clock.Millis) bool {
-	return !n.listed && n.deregistered && now >= n.leavesAt && n.failing
+	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "draining": n.worker.State == agent.Draining, "silent_ms": int64(now - n.lastAnswer)}).Info("controller: worker no longer listed")
 }
 
 // endIncarnation handles the end of a worker's process, which ends all runs there. It resets
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -25,10 +25,6 @@
 	stopPollMargin = clock.Millis(1)
 	// pollTimeout is the timeout of a poll beyond the delay that the poll allows.
 	pollTimeout = 1200 * clock.Millisecond
-	// heartbeatsBeforeExpiry is the number of heartbeat intervals after a worker's last answer
-	// within which its entry can't have expired. An entry expires after three intervals, and
-	// the last heartbeat may have been up to one interval before the answer.
-	heartbeatsBeforeExpiry = 2
 	// pollRetryDelay is the delay before a failed poll is retried.
 	pollRetryDelay = 300 * clock.Millisecond
 	// maxRenewalSilence is the time without an answer after which a worker's lease is no
@@ -58,8 +54,6 @@
 	listed bool
 	// leavesAt is the earliest time at which a draining worker exits.
 	leavesAt clock.Millis
-	// deregistered reports whether the worker removed its own entry while it was draining.
-	deregistered bool
 	// pollAnswered reports whether the worker has answered a poll in the current term,
 	// polling whether a poll is in flight.
 	pollAnswered bool
@@ -183,7 +177,7 @@
 	if n.worker.State != worker.State && n.worker.State != "" {
 		c.opts.Log.WithFields(logrus.Fields{"worker": worker.ID, "state": string(worker.State), "remaining_ms": int64(worker.Remaining), "version": e.Version}).Info("controller: worker state changed")
 	}
-	n.worker, n.listed, n.deregistered = worker, true, false
+	n.worker, n.listed = worker, true
 	if (worker.StartedAt != 0 && n.workerStart != 0 && worker.StartedAt > n.workerStart) || moved {
 		c.endIncarnation(n, worker.StartedAt, entryReplaced)
 	}
@@ -374,9 +368,6 @@
 		}
 		n.pollAnswered = false
 	}
-	if n.hasExited(now) && (len(n.runs) > 0 || len(n.unknownRuns) > 0) {
-		c.endIncarnation(n, 0, drainedAndGone)
-	}
 	if n.listed && n.worker.State == agent.Draining {
 		c.stopUnfinishableRuns(n, now)
 	}
