controller: ask the worker whether its process has changed, instead of believing an entry

Callers saw a task run twice at once: an entry of the worker with another address or a later start time ended all runs there, although entries are open to other writers and the worker went on. Only a run with an unanswered order was kept, to be stopped, and it did not last either: with the clock forgotten, its lease counted as expired since the beginning of the term, so the task ran elsewhere while the order could still reach the new process.

Such an entry now costs the worker its place in plans until it answers at the address given. Its clock is unknown until then, its lease is not renewed, and the runs lapse at the earliest when the longest lease has passed since the clock was lost. An answer that makes the clock known again stands for the longest lease from then on; a poll of a known clock that renews nothing no longer does.

--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -24,9 +24,8 @@
 	notReported evidence = "its worker does not report it"
 	// leaseExpired means that the lease has expired by the slowest clock that a worker may have.
 	leaseExpired evidence = "its lease has expired"
-	// The others mean that the worker's process has ended.
+	// restartReported means that another process of the worker has answered.
 	restartReported evidence = "the worker has restarted"
-	entryReplaced   evidence = "the worker's entry has a new address or start time"
 )
 
 // removal is what the leader remembers of the last run of a task that it removed.
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -17,6 +17,22 @@
 	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "draining": n.worker.State == agent.Draining, "silent_ms": int64(now - n.lastAnswer)}).Info("controller: worker no longer listed")
 }
 
+// mayBeReplaced reports whether a worker's new entry tells of another process than the one that is
+// known: of another address or start time. Only the process itself can confirm that, since others may
+// write entries as well.
+func (n *node) mayBeReplaced(entry agent.Worker) bool {
+	if n.worker.Address == "" {
+		return false
+	}
+	return entry.Address != n.worker.Address || (entry.StartedAt != n.worker.StartedAt && entry.StartedAt != n.workerStart)
+}
+
+// forgetClock discards what is known of a worker's clock, which starts again with each process. Until
+// the worker answers, it gets no work and its lease is not renewed. Its runs stay.
+func (c *Controller) forgetClock(n *node) {
+	n.pollAnswered, n.clock, n.clockReadAt, n.clockLostAt = false, 0, 0, c.opts.Clock.Now()
+}
+
 // endIncarnation handles the end of a worker's process, which ends all runs there. It resets
 // what is known of the worker; workerStart is the start time of the new process, or 0 if that
 // is unknown.
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -70,9 +70,11 @@
 	// worker last answered.
 	refusing bool
 	// clock is the worker's clock in its last answer, which arrived at clockReadAt on the
-	// leader's clock; both are 0 before the first answer.
+	// leader's clock; both are 0 while the clock is not known. clockLostAt is when the leader last
+	// lost its knowledge of the clock; 0 if it never did.
 	clock       clock.Millis
 	clockReadAt clock.Millis
+	clockLostAt clock.Millis
 	// leasedUntil is the latest end, on the worker's clock, of all requested leases.
 	// workerStart is the Unix time in milliseconds at which the worker's process started, or
 	// 0 if that is unknown.
@@ -169,8 +171,9 @@
 		return
 	}
 	n := c.nodeByID(worker.ID)
-	// A worker with a new address is a new process.
-	moved := n.worker.Address != "" && n.worker.Address != worker.Address
+	if n.mayBeReplaced(worker) {
+		c.forgetClock(n)
+	}
 	if worker.State == agent.Draining && n.worker.State != worker.State {
 		n.leavesAt = c.opts.Clock.Now() + worker.Remaining
 	}
@@ -178,9 +181,6 @@
 		c.opts.Log.WithFields(logrus.Fields{"worker": worker.ID, "state": string(worker.State), "remaining_ms": int64(worker.Remaining), "version": e.Version}).Info("controller: worker state changed")
 	}
 	n.worker, n.listed = worker, true
-	if (worker.StartedAt != 0 && n.workerStart != 0 && worker.StartedAt > n.workerStart) || moved {
-		c.endIncarnation(n, worker.StartedAt, entryReplaced)
-	}
 	if c.workersListed && !n.pollAnswered {
 		c.poll(n)
 	}
@@ -228,7 +228,12 @@
 
 // recordAnswer notes the time of a worker's answer and the worker's clock in it, and resets the signs
 // of a failure.
-func (n *node) recordAnswer(workerClock, now clock.Millis) {
+func (c *Controller) recordAnswer(n *node, workerClock, now clock.Millis) {
+	if n.clockReadAt == 0 {
+		// A lease that was requested before the clock was known ends at the latest when the longest
+		// lease has passed from now.
+		n.leasedUntil = workerClock + c.opts.Limits().Lease
+	}
 	n.clock, n.clockReadAt, n.lastAnswer, n.failing, n.refusing = workerClock, now, now, false, false
 }
 
@@ -237,7 +242,8 @@
 func (c *Controller) leasesExpired(n *node, now clock.Millis) bool {
 	if n.clockReadAt == 0 {
 		// The previous leader may have renewed the lease until it noticed that its term was over.
-		return now-c.leadingSince-c.opts.LeaderTTL > clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag))+leaseExpiryMargin
+		lastRenewal := max(c.leadingSince+c.opts.LeaderTTL, n.clockLostAt)
+		return now-lastRenewal > clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag))+leaseExpiryMargin
 	}
 	return n.estimatedClock(now, 1-maxClockLag) > n.leasedUntil+leaseExpiryMargin
 }
@@ -293,7 +299,7 @@
 					c.onPollError(n, worker, err)
 					return
 				}
-				c.pollAnswered(n, worker, request, sent, report)
+				c.pollAnswered(n, worker, sent, report)
 			})
 		})
 	}()
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -9,7 +9,7 @@
 )
 
 // pollAnswered handles the answer to a poll. sent is when the poll was sent.
-func (c *Controller) pollAnswered(n *node, worker agent.Worker, request agent.Renewal, sent clock.Millis, report agent.Report) {
+func (c *Controller) pollAnswered(n *node, worker agent.Worker, sent clock.Millis, report agent.Report) {
 	now := c.opts.Clock.Now()
 	if n.worker.Address != worker.Address {
 		return
@@ -22,12 +22,7 @@
 	}
 	first := !n.pollAnswered
 	n.pollAnswered = true
-	n.recordAnswer(report.Clock, now)
-	if request.Lease == 0 {
-		// The poll did not renew the lease, so a lease of an earlier leader may be in force.
-		// It ends at the latest when the longest lease has passed from now.
-		n.leasedUntil = max(n.leasedUntil, report.Clock+c.opts.Limits().Lease)
-	}
+	c.recordAnswer(n, report.Clock, now)
 	for _, e := range report.Ended {
 		c.handleEnd(n, e)
 	}
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -99,7 +99,7 @@
 	}
 	now := c.opts.Clock.Now()
 	if workerClock > 0 {
-		r.node.recordAnswer(workerClock, now)
+		c.recordAnswer(r.node, workerClock, now)
 	}
 	switch {
 	case isRefusal(err) && !r.orderUnanswered:
