controller: keep the runs that a restarted worker reports as its own

Callers saw a task run twice at once: a worker restarted under its ID, carried out an order before the leader knew, and the first answer of the new process ended all runs there. The run was placed again and stopped as unknown only after that.

The first answer of a new process now resets the numbers of ends and the clock, and the runs go the way of any other answer: those reported are present, those missing have ended if they were known to be present before the poll was sent, and stops are asked for again, because an order without an answer may still arrive. An order without an answer is sent again only while the lease may be renewed, and with a new lease: one that reaches a process that has started since would be held for the longest lease from its arrival, which the old deadline does not bound.

--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -24,8 +24,6 @@
 	notReported evidence = "its worker does not report it"
 	// leaseExpired means that the lease has expired by the slowest clock that a worker may have.
 	leaseExpired evidence = "its lease has expired"
-	// restartReported means that another process of the worker has answered.
-	restartReported evidence = "the worker has restarted"
 )
 
 // removal is what the leader remembers of the last run of a task that it removed.
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -33,25 +33,21 @@
 	n.pollAnswered, n.clock, n.clockReadAt, n.clockLostAt = false, 0, 0, c.opts.Clock.Now()
 }
 
-// endIncarnation handles the end of a worker's process, which ends all runs there. It resets
-// what is known of the worker; workerStart is the start time of the new process, or 0 if that
-// is unknown.
-func (c *Controller) endIncarnation(n *node, workerStart clock.Millis, reason evidence) {
-	if len(n.runs) > 0 || n.pollAnswered {
-		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "reason": string(reason), "born": int64(workerStart)}).Warn("controller: worker process has ended")
-	}
-	n.workerStart, n.pollAnswered, n.handledEnd, n.ackedEnd, n.unackedEnds = workerStart, false, 0, 0, nil
-	n.clock, n.clockReadAt, n.leasedUntil, n.lastAnswer, n.slowUntil, n.failing, n.refusing = 0, 0, 0, 0, 0, false, false
+// onRestart handles the first answer of a new process of a worker: its clock and the numbers of its
+// ends start again. The comparison of runs that follows tells which runs have ended with the earlier
+// process, since the new one may have started some already. A run that is being stopped has to be
+// stopped again, as a late order may still start it.
+func (c *Controller) onRestart(n *node, start clock.Millis) {
+	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "born": int64(start), "born_before": int64(n.workerStart)}).Warn("controller: worker has restarted")
+	n.process++
+	n.workerStart, n.handledEnd, n.ackedEnd, n.unackedEnds = start, 0, 0, nil
+	n.clockReadAt, n.slowUntil = 0, 0
 	clear(n.unknownRuns)
 	for r := range n.runs {
-		if r.orderUnanswered && r.state == ordered {
-			// The order may still reach the new process, whose clock and numbers start again.
-			// So the run has to be stopped there.
-			r.workerStart = workerStart
-			c.stopRun(r, "its worker has started anew")
-			continue
+		if r.state == stopping {
+			r.stopConfirmed = 0
+			c.requestStop(r)
 		}
-		c.removeRun(r, agent.LeaseExpired, reason, "")
 	}
 	c.planNeeded = true
 }
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -80,6 +80,8 @@
 	// 0 if that is unknown.
 	leasedUntil clock.Millis
 	workerStart clock.Millis
+	// process counts the processes of the worker that have answered after the first one.
+	process int
 	// handledEnd is the highest agent.RunEnd.Number that was handled, ackedEnd the highest
 	// that may be acknowledged because the end is recorded. Ends in between are in
 	// unackedEnds. runs are the runs that are expected on the worker.
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -94,7 +94,9 @@
 }
 
 // retryOrder queues an unanswered order again after retryDelay, as long as the run is wanted.
-// While the leadership is not confirmed, it waits for another retryDelay.
+// While the leadership is not confirmed, or the worker's lease must not be renewed, it waits for
+// another retryDelay. The lease is requested anew: a process that has started since the last copy
+// would hold the run for the longest lease from when it gets this one.
 func (c *Controller) retryOrder(r *run, order agent.Order) {
 	c.countRetry("order")
 	term := c.term
@@ -102,11 +104,17 @@
 		clock.Sleep(c.ctx, retryDelay)
 		c.post(func() {
 			c.runInTerm(term, func() {
-				if r.task.run == r && r.state == ordered && c.leadershipConfirmed() {
-					c.enqueueOrder(r, order)
-				} else if r.task.run == r && r.state == ordered {
-					c.retryOrder(r, order)
+				if r.task.run != r || r.state != ordered {
+					return
 				}
+				if c.leadershipConfirmed() {
+					if lease := c.nextLease(r.node); lease != 0 {
+						order.Lease = lease
+						c.enqueueOrder(r, order)
+						return
+					}
+				}
+				c.retryOrder(r, order)
 			})
 		})
 	}()
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if report.StartedAt != 0 && n.workerStart != 0 && report.StartedAt != n.workerStart {
-		c.endIncarnation(n, report.StartedAt, restartReported)
+		c.onRestart(n, report.StartedAt)
 	}
 	if n.workerStart == 0 {
 		n.workerStart = report.StartedAt
@@ -79,7 +79,7 @@
 func (c *Controller) reported(r *run, reported agent.Run, now clock.Millis) {
 	switch r.state {
 	case ordered, unconfirmed, inherited:
-		r.adopted = r.state == inherited
+		r.adopted, r.workerStart = r.state == inherited, r.node.workerStart
 		c.markPresent(r, now)
 		switch {
 		case r.task.part.job.state.Final():
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -98,7 +98,7 @@
 		return
 	}
 	now := c.opts.Clock.Now()
-	if workerClock > 0 {
+	if workerClock > 0 && r.workerStart == r.node.workerStart {
 		c.recordAnswer(r.node, workerClock, now)
 	}
 	switch {
@@ -172,10 +172,16 @@
 	c.requestStop(r)
 }
 
-// requestStop asks the worker to stop a run, and repeats that until the worker confirms it.
+// requestStop asks the worker to stop a run, and repeats that until the worker confirms it. The
+// confirmation of a process that has been replaced since does not count.
 func (c *Controller) requestStop(r *run) {
-	needed := func() bool { return r.task.run == r && r.state == stopping }
-	c.sendStop(r.node, runKey{r.task.id(), r.number}, needed, func() { r.stopConfirmed = c.opts.Clock.Now() })
+	process := r.node.process
+	needed := func() bool { return r.task.run == r && r.state == stopping && r.node.process == process }
+	c.sendStop(r.node, runKey{r.task.id(), r.number}, needed, func() {
+		if needed() {
+			r.stopConfirmed = c.opts.Clock.Now()
+		}
+	})
 }
 
 // sendStop asks a worker to stop a run. It retries until the worker answers or needed returns
