controller: repeat a stop until the worker's address is known

Callers saw a cancelled job's task run on for its whole length: a new leader stops a run that an earlier one recorded on a worker whose entry has lapsed, gives up at once for want of an address, and renews its lease once the worker is back. The stop is now repeated until the worker is listed, like one without an answer.

Evidence: the spec 'stops the run once the worker is listed' failed before and passes.

--- a/controller/inherited_test.go
+++ b/controller/inherited_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnutsail/chestnutsail/intake"
+	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -50,3 +51,24 @@
 		Eventually(func() workflow.State { return next.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
 	})
 })
+
+var _ = Describe("a new leader that stops a run before it knows the worker's address", func() {
+	It("stops the run once the worker is listed", func() {
+		c := newClusterWithLease(1, 8000)
+		first := c.startInstance(nil)
+		Eventually(first.isLeader, shortTimeout).Should(BeTrue())
+		first.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		Eventually(func() workflow.State { return first.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Running))
+		c.store.Delete(platform.WorkersPrefix + "i-0")
+		first.election.Resign(context.Background())
+
+		next := c.startInstance(nil)
+		Eventually(next.isLeader, shortTimeout).Should(BeTrue())
+		grant, refusal := next.handler.Admit(intake.Call{Host: "h", Path: "/b/" + jobID(1)})
+		Expect(refusal).To(BeNil())
+		Expect(next.handler.Cancel(context.Background(), grant).Verdict).To(Equal(intake.OK))
+		time.Sleep(300 * time.Millisecond) // the leader asks for the stop
+		c.workers[0].Register("ready")
+		Eventually(c.workers[0].Running, shortTimeout).Should(BeZero())
+	})
+})
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -185,14 +185,12 @@
 }
 
 // sendStop asks a worker to stop a run. It retries until the worker answers or needed returns
-// false, and calls onConfirmed on the event loop after an answer. While the lease on the leadership
-// may have ended it waits, because a successor may have taken the run over.
+// false, and calls onConfirmed on the event loop after an answer. It waits while the worker's address
+// is not known, and while the lease on the leadership may have ended, because a successor may have
+// taken the run over.
 func (c *Controller) sendStop(n *node, key runKey, needed func() bool, onConfirmed func()) {
 	term, worker := c.term, n.worker
-	if worker.Address == "" {
-		return
-	}
-	if !c.leadershipConfirmed() {
+	if worker.Address == "" || !c.leadershipConfirmed() {
 		c.afterRetryDelay(func() {
 			if needed() {
 				c.sendStop(n, key, needed, onConfirmed)
