--- a/controller/unreachable_test.go
+++ b/controller/unreachable_test.go
@@ -50,6 +50,21 @@
 		Eventually(c.workers[1].Running, lease.Duration()*3/100+1800*time.Millisecond).Should(Equal(1))
 	})
 
+	It("have their lasting tasks at work elsewhere within 9 s, however long their leases may be", func() {
+		c := newClusterWithLease(1, 10*clock.Second)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		lasting := step(1)
+		lasting.UntilCancelled = true
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{lasting}})
+		Eventually(c.workers[0].Running, shortTimeout).Should(Equal(1))
+		c.addWorker("i-9")
+		time.Sleep(4 * time.Second) // a lease of an earlier leader would end sooner than the one requested now
+		c.workers[0].HangCalls(true)
+		Eventually(c.workers[1].Running, 9*time.Second).Should(Equal(1))
+		Expect(c.overlaps()).To(BeEmpty())
+	})
+
 	// An idle worker is not polled, so it doesn't show by itself that its domain is reachable.
 	It("do not keep work from an idle worker of their failure domain that answers", func() {
 		c := newClusterWithLease(1, 10000)
