controller: stop what runs on a draining worker before it may exit

Runs were left there for 2 s beyond the earliest exit in the hope that the worker goes on, and tasks that last for ever. Now what is left is stopped while the worker can still confirm it, shortly before its earliest exit, and runs that can't finish by then are stopped at once.

Once, at a load of 25, the spec of a drained worker that has exited early failed: its runs start later than the lease tells, because polls that are retried request more of it.

--- a/controller/alive_test.go
+++ b/controller/alive_test.go
@@ -112,7 +112,7 @@
 			c.putEntry(x.ID(), map[string]any{"born": time.Now().Add(time.Hour).UnixMilli()})
 		}),
 		Entry("when it drains, its entry expires although it answers, and its link then fails", step(1), func(c *cluster, _ *instance, x *platformtest.Worker) {
-			x.Register("draining")
+			x.Drain(time.Minute)
 			time.Sleep(300 * time.Millisecond)
 			c.store.Delete(platform.WorkersPrefix + x.ID())
 			time.Sleep(300 * time.Millisecond)
--- a/controller/draining.go
+++ b/controller/draining.go
@@ -2,38 +2,41 @@
 
 import "github.com/chestnutsail/chestnutsail/clock"
 
-// usualDrainOvertime is the time in milliseconds for which a draining worker usually keeps
-// running after the earliest exit time that follows from its entry. The platform does not
-// guarantee any such time.
-const usualDrainOvertime = 2 * clock.Second
+// exitMargin is the time in milliseconds that a stop may take beyond the time that the worker needs
+// for it: two ticks, and a few round trips.
+const exitMargin = 2 * tickPeriod
 
-// stopUnfinishableRuns stops the runs on a draining worker that can't finish before the worker
-// exits. Runs with checkpoints lose no progress, so they are stopped unless they finish before
-// the earliest exit time. Other runs lose less the sooner they are stopped, but they stay if
-// the worker usually keeps running long enough for them to finish. Tasks that run until the job
-// is cancelled also stay.
+// stopUnfinishableRuns stops the runs on a draining worker that can't finish before its earliest
+// exit: the sooner they are stopped, the less work is lost. Shortly before the earliest exit it stops
+// all that is left, so that the worker itself confirms that nothing runs there any more. Once the
+// worker has exited, its runs could be placed again only after its lease has expired.
 func (c *Controller) stopUnfinishableRuns(n *node, now clock.Millis) {
+	mayExit := now+c.opts.Limits().Stop+exitMargin >= n.leavesAt
 	for r := range n.runs {
-		p := r.task.part
-		if r.state != present || p.step.UntilCancelled || c.canFinishBeforeLeaving(r, now) {
+		if !mayExit && (r.state != present || c.canFinishBeforeLeaving(r, now)) {
 			continue
 		}
-		if !p.step.Gang {
+		if !r.task.part.step.Gang {
 			c.stopRun(r, "its worker drains")
 			continue
 		}
-		for _, member := range p.runs() {
+		for _, member := range r.task.part.runs() {
 			c.stopRun(member, "a worker of its gang drains")
 		}
 	}
 }
 
-// canFinishBeforeLeaving reports whether a run on a draining worker is expected to finish before
-// the worker exits. For a run with checkpoints, an unknown remaining time counts as too long.
+// canFinishBeforeLeaving reports whether a run on a draining worker may finish before the worker
+// exits, or need not finish. For a run with checkpoints, which loses no progress, an unknown
+// remaining time counts as too long.
 func (c *Controller) canFinishBeforeLeaving(r *run, now clock.Millis) bool {
+	step := r.task.part.step
+	if step.UntilCancelled {
+		return true
+	}
 	remaining, known := r.remaining()
-	if r.task.part.step.Checkpointing {
-		return known && now+clock.Millis(remaining) < r.node.leavesAt
+	if !known {
+		return !step.Checkpointing
 	}
-	return !known || now+clock.Millis(remaining) < r.node.leavesAt+usualDrainOvertime
+	return now+clock.Millis(remaining) < r.node.leavesAt
 }
