controller: don't renew the lease of a worker whose call has failed before it answers

A poll that was sent again after a failure asked for more of the lease, for up to 1.5 s, and so did orders to a worker that refuses. After a failed call, polls now ask for none until the worker has answered; an order is sent again, with a lease, unless calls are refused.

--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -213,9 +213,7 @@
 }
 
 // nextLease returns the end, on the worker's clock, of the lease to request, and remembers it
-// in leasedUntil. It returns 0 if the lease must not be renewed. The lease of a worker that refuses
-// connections is not renewed, because its process may have ended: the sooner the lease expires, the
-// sooner its runs can be placed again.
+// in leasedUntil. It returns 0 if the lease must not be renewed.
 func (c *Controller) nextLease(n *node) clock.Millis {
 	now := c.opts.Clock.Now()
 	if n.clockReadAt == 0 || n.refusing || n.tooSilent(now) {
@@ -279,7 +277,12 @@
 		// The worker would answer at once with the same ends.
 		return
 	}
-	request := agent.Renewal{Fence: c.term, Acked: n.ackedEnd, Lease: c.nextLease(n)}
+	request := agent.Renewal{Fence: c.term, Acked: n.ackedEnd}
+	if !n.failing {
+		// The lease of a worker that may have ended is not renewed before it answers: the sooner the
+		// lease expires, the sooner its runs can be placed again.
+		request.Lease = c.nextLease(n)
+	}
 	if n.pollAnswered && len(n.unackedEnds) == 0 && !n.needsImmediateAnswer() && !probe {
 		request.Wait = c.pollWait()
 		if n.hasNewRun(now) {
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -109,6 +109,7 @@
 		c.removeRun(r, agent.Stopped, notDelivered, "")
 	case err != nil:
 		r.node.failing, r.orderUnanswered = true, true
+		r.node.refusing = r.node.refusing || isRefusal(err)
 		c.opts.Log.WithError(err).WithFields(r.logFields()).Warn("controller: no answer to an order; it will be sent again")
 		c.retryOrder(r, order)
 	case verdict == agent.Accepted:
