controller: request leases of the longest length again

What the short leases were for stays open: the task that lasts of a worker that exits unannounced has to be at work again after 9 s, and is not with leases of 10 s.

--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -30,10 +30,6 @@
 	// maxRenewalSilence is the time without an answer after which a worker's lease is no
 	// longer renewed. From then on the leader knows when all runs there will have ended.
 	maxRenewalSilence = 1500 * clock.Millisecond
-	// maxLease is the longest lease that is requested. A task that lasts has to be at work again 9 s
-	// after its run has ended; that includes maxRenewalSilence, the lease by the slowest clock,
-	// leaseExpiryMargin, and the placement.
-	maxLease = 6500 * clock.Millisecond
 	// maxClockLag is the fraction by which a worker's clock may run slow. The workers'
 	// protocol allows 2 %; the rest is a safety margin.
 	maxClockLag = 0.03
@@ -219,7 +215,7 @@
 	if n.clockReadAt == 0 || n.refusing || n.tooSilent(now) {
 		return 0
 	}
-	until := n.estimatedClock(now, 1) + c.lease()
+	until := n.estimatedClock(now, 1) + c.opts.Limits().Lease
 	n.leasedUntil = max(n.leasedUntil, until)
 	return until
 }
@@ -316,12 +312,9 @@
 
 // pollWait returns the time in milliseconds for which a worker may delay the answer to a poll.
 func (c *Controller) pollWait() clock.Millis {
-	return min(maxPollWait, c.lease()/pollsPerLease)
+	return min(maxPollWait, c.opts.Limits().Lease/pollsPerLease)
 }
 
-// lease returns the length of the leases that are requested, in milliseconds.
-func (c *Controller) lease() clock.Millis { return min(c.opts.Limits().Lease, maxLease) }
-
 // hasNewRun reports whether the worker has a recently started run whose pace is not known yet.
 func (n *node) hasNewRun(now clock.Millis) bool {
 	for r := range n.runs {
