controller: let the explorer find runs of one task at once, and disturb links, entries and orders

The explorer checked only that accepted jobs end. It now checks that no task has two runs at once and none starts again after an acknowledged end, over all workers ever started.

--- a/controller/explore_test.go
+++ b/controller/explore_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/intake"
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 	"github.com/chestnutsail/chestnutsail/workflow"
@@ -30,36 +31,70 @@
 	return fallback
 }
 
-// exploreDuration is how long jobs are submitted and faults injected for one seed.
+// exploreDuration is how long jobs are submitted and faults injected for one seed, beside half the
+// length of a lease.
 const exploreDuration = 2500 * time.Millisecond
 
-// explorer runs random jobs and faults from one seed. The leader changes, answers of the store
-// and of workers get lost, writes take effect late, and workers become unreachable, stop
-// answering, drain or restart.
+// exploreLeases are the lengths of leases; each is used by two seeds in a row.
+var exploreLeases = []clock.Millis{lease, 3 * clock.Second, 6 * clock.Second}
+
+// slowClockRate is the rate of the slowest clock that a worker may have.
+const slowClockRate = 0.98
+
+// explorer runs random jobs and faults from one seed. The seed chooses the jobs and faults; how they
+// meet in time differs from run to run.
 type explorer struct {
 	*cluster
 	random   *rand.Rand
 	leader   *instance
 	accepted []string
 	faults   []string
+	// cut holds the IDs of the workers whose links are cut.
+	cut map[string]bool
+	// registerAt holds, by ID, when workers whose entries are wrong or missing write them again.
+	registerAt map[string]time.Time
 }
 
 func newExplorer(seed int) *explorer {
-	e := &explorer{cluster: newCluster(4), random: rand.New(rand.NewPCG(uint64(seed), 1))}
+	e := &explorer{
+		cluster:    newClusterWithLease(0, exploreLeases[seed/2%len(exploreLeases)]),
+		random:     rand.New(rand.NewPCG(uint64(seed), 1)),
+		cut:        make(map[string]bool),
+		registerAt: make(map[string]time.Time),
+	}
+	e.leaderTTL = clock.Second
+	for n := range 4 {
+		e.startExplored(fmt.Sprint("i-", n))
+	}
 	e.leader = e.startInstance(nil)
 	Eventually(e.leader.isLeader, shortTimeout).Should(BeTrue())
 	return e
 }
 
+// startExplored starts a new process of a worker. The clocks of some run slow.
+func (e *explorer) startExplored(id string) {
+	rate := 1.0
+	if e.random.IntN(3) == 0 {
+		rate = slowClockRate
+	}
+	e.startWorker(platformtest.WorkerOptions{ID: id, ClockRate: rate})
+}
+
 func (e *explorer) logFaultf(format string, args ...any) {
-	e.faults = append(e.faults, fmt.Sprintf(format, args...))
+	fault := time.Now().Format("05.000 ") + fmt.Sprintf(format, args...)
+	e.faults = append(e.faults, fault)
+	GinkgoWriter.Println("fault:", fault)
 }
 
 // submit submits a random job with an ID made from n, and notes the ID if the job is accepted.
 func (e *explorer) submit(n int) {
 	work := step(1 + e.random.IntN(4))
 	work.Gang = e.random.IntN(3) == 0
-	spec := workflow.Spec{Payload: fmt.Sprintf("gang=1 ms=%d fails=%d", 50+e.random.IntN(500), e.random.IntN(2)), Steps: []workflow.Step{work}}
+	duration := 50 + e.random.IntN(500)
+	if e.random.IntN(4) == 0 {
+		duration = 500 + e.random.IntN(3000)
+	}
+	spec := workflow.Spec{Payload: fmt.Sprintf("gang=1 ms=%d fails=%d", duration, e.random.IntN(2)), Steps: []workflow.Step{work}}
 	if e.random.IntN(3) == 0 {
 		next := step(1 + e.random.IntN(2))
 		next.After = []int{0}
@@ -73,55 +108,6 @@
 	}
 }
 
-// injectFault injects or ends one random fault.
-func (e *explorer) injectFault() {
-	x := e.workers[e.random.IntN(len(e.workers))]
-	switch kind := e.random.IntN(9); kind {
-	case 0:
-		x.DropCalls(e.random.IntN(2) == 0)
-		e.logFaultf("%s becomes unreachable or reachable", x.ID())
-	case 1:
-		x.HangCalls(e.random.IntN(2) == 0)
-		e.logFaultf("%s stops or resumes answering", x.ID())
-	case 2:
-		x.LoseStartAnswers(1 + e.random.IntN(3))
-		e.logFaultf("%s loses answers", x.ID())
-	case 3:
-		x.Close()
-		e.addWorker(x.ID())
-		e.logFaultf("%s restarts", x.ID())
-	case 4:
-		x.Register([]string{"draining", "ready"}[e.random.IntN(2)])
-		e.logFaultf("%s becomes draining or ready", x.ID())
-	case 5:
-		e.store.SetFaults(func(f *platformtest.Faults) { f.LostAnswers += 1 + e.random.IntN(3) })
-		e.logFaultf("the store loses answers")
-	case 6:
-		e.store.SetFaults(func(f *platformtest.Faults) { f.DelayedWrites, f.WriteDelay = 1+e.random.IntN(2), 400*time.Millisecond })
-		e.logFaultf("writes of the store take effect late")
-	case 7:
-		e.store.SetFaults(func(f *platformtest.Faults) { f.MuteWatches = !f.MuteWatches })
-		e.logFaultf("the store's watches stop or resume")
-	case 8:
-		e.leader.election.Resign(context.Background())
-		e.leader = e.startInstance(nil)
-		e.logFaultf("another instance becomes the leader")
-	}
-}
-
-// endFaults ends all faults and makes all workers ready.
-func (e *explorer) endFaults() {
-	e.store.SetFaults(func(f *platformtest.Faults) { *f = platformtest.Faults{} })
-	for _, x := range e.workers {
-		x.DropCalls(false)
-		x.HangCalls(false)
-		x.LoseStartAnswers(0)
-	}
-	for _, x := range e.currentWorkers() {
-		x.Register("ready")
-	}
-}
-
 // currentWorkers returns, by ID, the last started process of each worker.
 func (e *explorer) currentWorkers() map[string]*platformtest.Worker {
 	current := make(map[string]*platformtest.Worker)
@@ -142,21 +128,27 @@
 	return unfinished
 }
 
-// Guards against accepted jobs that never end because a combination of faults left the records,
-// the leader and the workers with different views of a run.
+// Guards against accepted jobs that never end, and tasks that run twice, because a combination of
+// faults left the records, the leader and the workers with different views of a run.
 var _ = Describe("whatever fails", func() {
-	It("every accepted job ends once nothing fails any more", func() {
+	It("every accepted job ends once nothing fails any more, and no task runs twice", func() {
 		for seed := exploreFrom; seed < exploreFrom+exploreCount; seed++ {
 			e := newExplorer(seed)
-			for n, end := 0, time.Now().Add(exploreDuration); time.Now().Before(end); n++ {
+			for n, end := 0, time.Now().Add(exploreDuration+e.lease.Duration()/2); time.Now().Before(end); n++ {
 				e.submit(1000*seed + n)
 				if e.random.IntN(3) == 0 {
 					e.injectFault()
 				}
+				e.registerDue()
 				time.Sleep(time.Duration(e.random.IntN(80)) * time.Millisecond)
+				Expect(e.repeats()).To(BeEmpty(), "seed %d: %v", seed, e.faults)
 			}
 			e.endFaults()
-			Eventually(e.unfinishedJobs, 2*leaseTimeout).Should(BeEmpty(), "seed %d: %v", seed, e.faults)
+			Eventually(func() []string {
+				Expect(e.repeats()).To(BeEmpty(), "seed %d: %v", seed, e.faults)
+				return e.unfinishedJobs()
+			}, 2*leaseTimeout).Should(BeEmpty(), "seed %d: %v", seed, e.faults)
+			Expect(e.repeats()).To(BeEmpty(), "seed %d: %v", seed, e.faults)
 		}
 	})
 })
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -37,6 +37,8 @@
 	workers       []*platformtest.Worker
 	instanceCount int
 	lease         clock.Millis
+	// leaderTTL is how long an instance may go on believing that it leads; 0 means that it does not.
+	leaderTTL clock.Millis
 }
 
 func newCluster(workers int) *cluster { return newClusterWithLease(workers, lease) }
@@ -56,7 +58,13 @@
 
 // addWorkerIn adds a worker in a failure domain and a rack; "" means the stand-in's default.
 func (c *cluster) addWorkerIn(domain, rack, id string) {
-	x := platformtest.NewWorker(platformtest.WorkerOptions{Store: c.store, ID: id, Domain: domain, Rack: rack, Lease: c.lease.Duration()})
+	c.startWorker(platformtest.WorkerOptions{ID: id, Domain: domain, Rack: rack})
+}
+
+// startWorker adds a worker with the cluster's store and lease.
+func (c *cluster) startWorker(opts platformtest.WorkerOptions) {
+	opts.Store, opts.Lease = c.store, c.lease.Duration()
+	x := platformtest.NewWorker(opts)
 	DeferCleanup(x.Close)
 	c.workers = append(c.workers, x)
 }
@@ -95,6 +103,8 @@
 	// delay before each read of a single key.
 	loseNextWrite bool
 	readDelay     time.Duration
+	// resumesAt is the time until which the instance is suspended.
+	resumesAt time.Time
 }
 
 func (h *hooks) Get(ctx context.Context, key string) (kv.Entry, error) {
@@ -138,10 +148,13 @@
 	return h.refusedWorkers[id]
 }
 
-func (h *hooks) setMisdirected(id string) {
+func (h *hooks) setMisdirected(id string) { h.misdirect(id, true) }
+
+// misdirect sets whether another instance answers at a worker's address.
+func (h *hooks) misdirect(id string, misdirected bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.misdirectedWorkers[id] = true
+	h.misdirectedWorkers[id] = misdirected
 }
 
 func (h *hooks) isMisdirected(id string) bool {
@@ -160,6 +173,8 @@
 	if h.unhealthyWorkers[w.ID] {
 		return agent.Unhealthy, 0, nil
 	}
+	ctx, cancel := h.awaitResumption(ctx)
+	defer cancel()
 	verdict, workerClock, err := h.WorkerClient.Start(ctx, w, o)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -180,9 +195,41 @@
 	if h.isRefused(w.ID) {
 		return agent.Report{}, agent.ErrAbsent
 	}
+	ctx, cancel := h.awaitResumption(ctx)
+	defer cancel()
 	return h.WorkerClient.Renew(ctx, w, r)
 }
 
+func (h *hooks) Stop(ctx context.Context, w agent.Worker, task agent.Task, run int, fence uint64) error {
+	if h.isMisdirected(w.ID) {
+		return agent.ErrReplaced
+	}
+	ctx, cancel := h.awaitResumption(ctx)
+	defer cancel()
+	return h.WorkerClient.Stop(ctx, w, task, run, fence)
+}
+
+// suspend suspends the instance where it has just checked that it leads and is about to act on
+// that, or is about to send a call to a worker.
+func (h *hooks) suspend(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.resumesAt = time.Now().Add(d)
+}
+
+// awaitResumption waits while the instance is suspended. A call that waited is sent although its
+// time has run out, since its timer runs late as well.
+func (h *hooks) awaitResumption(ctx context.Context) (context.Context, context.CancelFunc) {
+	h.mu.Lock()
+	wait := time.Until(h.resumesAt)
+	h.mu.Unlock()
+	if wait <= 0 {
+		return ctx, func() {}
+	}
+	time.Sleep(wait)
+	return context.WithTimeout(context.WithoutCancel(ctx), shortTimeout)
+}
+
 // instance is one instance of the scheduler, without its HTTP server.
 type instance struct {
 	*hooks
@@ -208,6 +255,7 @@
 	c.instanceCount++
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
+	log.SetFormatter(&logrus.TextFormatter{TimestampFormat: "15:04:05.000", FullTimestamp: true})
 	entry := log.WithField("instance", c.instanceCount)
 	clk := clock.New()
 	i := &instance{
@@ -227,7 +275,7 @@
 	})
 	i.runner = controller.New(controller.Options{
 		Store: i.hooks, Workers: i.hooks, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
-		Term: i.election.Term, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: func() *site.Config { return queues },
+		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: func() *site.Config { return queues },
 		Limits: func() controller.Limits {
 			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, HeartbeatInterval: clock.Second}
 		},
@@ -256,6 +304,14 @@
 	return i
 }
 
+// term returns the term of the election. The caller goes on with it after a suspension.
+func (i *instance) term() (uint64, bool) {
+	term, confirmed := i.election.Term()
+	_, cancel := i.awaitResumption(context.Background())
+	cancel()
+	return term, confirmed
+}
+
 // isLeader reports whether the instance is the leader.
 func (i *instance) isLeader() bool {
 	_, ok := i.election.Term()
