--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -24,10 +24,6 @@
 	notReported evidence = "its worker does not report it"
 	// leaseExpired means that the lease has expired by the slowest clock that a worker may have.
 	leaseExpired evidence = "its lease has expired"
-	// The others mean that the worker's process has ended.
-	restartReported evidence = "the worker has restarted"
-	entryReplaced   evidence = "the worker's entry has a new address or start time"
-	drainedAndGone  evidence = "the worker has drained, removed its entry and no longer answers"
 )
 
 // removal is what the leader remembers of the last run of a task that it removed.
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -7,43 +7,47 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
-// markUnlisted handles the removal of a worker's entry from the store. An entry expires three
-// heartbeat intervals after the last heartbeat. If it disappears sooner, the worker itself has
-// removed it.
+// markUnlisted handles the removal of a worker's entry from the store. The worker's process may go
+// on: entries also expire while the worker can't reach the store.
 func (c *Controller) markUnlisted(n *node, now clock.Millis) {
 	if !n.listed {
 		return
 	}
 	n.listed = false
-	n.deregistered = n.worker.State == agent.Draining && now-n.lastAnswer < heartbeatsBeforeExpiry*c.opts.Limits().HeartbeatInterval
-	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "resigned": n.deregistered, "silent_ms": int64(now - n.lastAnswer)}).Info("controller: worker no longer listed")
+	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "draining": n.worker.State == agent.Draining, "silent_ms": int64(now - n.lastAnswer)}).Info("controller: worker no longer listed")
 }
 
-// hasExited reports whether a draining worker has exited: it removed its own entry, the earliest
-// time at which it exits has passed, and it no longer answers.
-func (n *node) hasExited(now clock.Millis) bool {
-	return !n.listed && n.deregistered && now >= n.leavesAt && n.failing
+// mayBeReplaced reports whether a worker's new entry tells of another process than the one that is
+// known: of another address or start time. Only the process itself can confirm that, since others may
+// write entries as well.
+func (n *node) mayBeReplaced(entry agent.Worker) bool {
+	if n.worker.Address == "" {
+		return false
+	}
+	return entry.Address != n.worker.Address || (entry.StartedAt != n.worker.StartedAt && entry.StartedAt != n.workerStart)
 }
 
-// endIncarnation handles the end of a worker's process, which ends all runs there. It resets
-// what is known of the worker; workerStart is the start time of the new process, or 0 if that
-// is unknown.
-func (c *Controller) endIncarnation(n *node, workerStart clock.Millis, reason evidence) {
-	if len(n.runs) > 0 || n.pollAnswered {
-		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "reason": string(reason), "born": int64(workerStart)}).Warn("controller: worker process has ended")
-	}
-	n.workerStart, n.pollAnswered, n.handledEnd, n.ackedEnd, n.unackedEnds = workerStart, false, 0, 0, nil
-	n.clock, n.clockReadAt, n.leasedUntil, n.lastAnswer, n.slowUntil, n.failing, n.refusing = 0, 0, 0, 0, 0, false, false
+// forgetClock discards what is known of a worker's clock, which starts again with each process. Until
+// the worker answers, it gets no work and its lease is not renewed. Its runs stay.
+func (c *Controller) forgetClock(n *node) {
+	n.pollAnswered, n.clock, n.clockReadAt, n.clockLostAt = false, 0, 0, c.opts.Clock.Now()
+}
+
+// onRestart handles the first answer of a new process of a worker: its clock and the numbers of its
+// ends start again. The comparison of runs that follows tells which runs have ended with the earlier
+// process, since the new one may have started some already. A run that is being stopped has to be
+// stopped again, as a late order may still start it.
+func (c *Controller) onRestart(n *node, start clock.Millis) {
+	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "born": int64(start), "born_before": int64(n.workerStart)}).Warn("controller: worker has restarted")
+	n.process++
+	n.workerStart, n.handledEnd, n.ackedEnd, n.unackedEnds = start, 0, 0, nil
+	n.clockReadAt, n.slowUntil = 0, 0
 	clear(n.unknownRuns)
 	for r := range n.runs {
-		if r.orderUnanswered && r.state == ordered {
-			// The order may still reach the new process, whose clock and numbers start again.
-			// So the run has to be stopped there.
-			r.workerStart = workerStart
-			c.stopRun(r, "its worker has started anew")
-			continue
+		if r.state == stopping {
+			r.stopConfirmed = 0
+			c.requestStop(r)
 		}
-		c.removeRun(r, agent.LeaseExpired, reason, "")
 	}
 	c.planNeeded = true
 }
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -25,10 +25,6 @@
 	stopPollMargin = clock.Millis(1)
 	// pollTimeout is the timeout of a poll beyond the delay that the poll allows.
 	pollTimeout = 1200 * clock.Millisecond
-	// heartbeatsBeforeExpiry is the number of heartbeat intervals after a worker's last answer
-	// within which its entry can't have expired. An entry expires after three intervals, and
-	// the last heartbeat may have been up to one interval before the answer.
-	heartbeatsBeforeExpiry = 2
 	// pollRetryDelay is the delay before a failed poll is retried.
 	pollRetryDelay = 300 * clock.Millisecond
 	// maxRenewalSilence is the time without an answer after which a worker's lease is no
@@ -58,8 +54,6 @@
 	listed bool
 	// leavesAt is the earliest time at which a draining worker exits.
 	leavesAt clock.Millis
-	// deregistered reports whether the worker removed its own entry while it was draining.
-	deregistered bool
 	// pollAnswered reports whether the worker has answered a poll in the current term,
 	// polling whether a poll is in flight.
 	pollAnswered bool
@@ -76,14 +70,18 @@
 	// worker last answered.
 	refusing bool
 	// clock is the worker's clock in its last answer, which arrived at clockReadAt on the
-	// leader's clock; both are 0 before the first answer.
+	// leader's clock; both are 0 while the clock is not known. clockLostAt is when the leader last
+	// lost its knowledge of the clock; 0 if it never did.
 	clock       clock.Millis
 	clockReadAt clock.Millis
+	clockLostAt clock.Millis
 	// leasedUntil is the latest end, on the worker's clock, of all requested leases.
 	// workerStart is the Unix time in milliseconds at which the worker's process started, or
 	// 0 if that is unknown.
 	leasedUntil clock.Millis
 	workerStart clock.Millis
+	// process counts the processes of the worker that have answered after the first one.
+	process int
 	// handledEnd is the highest agent.RunEnd.Number that was handled, ackedEnd the highest
 	// that may be acknowledged because the end is recorded. Ends in between are in
 	// unackedEnds. runs are the runs that are expected on the worker.
@@ -175,18 +173,16 @@
 		return
 	}
 	n := c.nodeByID(worker.ID)
-	// A worker with a new address is a new process.
-	moved := n.worker.Address != "" && n.worker.Address != worker.Address
+	if n.mayBeReplaced(worker) {
+		c.forgetClock(n)
+	}
 	if worker.State == agent.Draining && n.worker.State != worker.State {
 		n.leavesAt = c.opts.Clock.Now() + worker.Remaining
 	}
 	if n.worker.State != worker.State && n.worker.State != "" {
 		c.opts.Log.WithFields(logrus.Fields{"worker": worker.ID, "state": string(worker.State), "remaining_ms": int64(worker.Remaining), "version": e.Version}).Info("controller: worker state changed")
 	}
-	n.worker, n.listed, n.deregistered = worker, true, false
-	if (worker.StartedAt != 0 && n.workerStart != 0 && worker.StartedAt > n.workerStart) || moved {
-		c.endIncarnation(n, worker.StartedAt, entryReplaced)
-	}
+	n.worker, n.listed = worker, true
 	if c.workersListed && !n.pollAnswered {
 		c.poll(n)
 	}
@@ -234,7 +230,12 @@
 
 // recordAnswer notes the time of a worker's answer and the worker's clock in it, and resets the signs
 // of a failure.
-func (n *node) recordAnswer(workerClock, now clock.Millis) {
+func (c *Controller) recordAnswer(n *node, workerClock, now clock.Millis) {
+	if n.clockReadAt == 0 {
+		// A lease that was requested before the clock was known ends at the latest when the longest
+		// lease has passed from now.
+		n.leasedUntil = workerClock + c.opts.Limits().Lease
+	}
 	n.clock, n.clockReadAt, n.lastAnswer, n.failing, n.refusing = workerClock, now, now, false, false
 }
 
@@ -243,7 +244,8 @@
 func (c *Controller) leasesExpired(n *node, now clock.Millis) bool {
 	if n.clockReadAt == 0 {
 		// The previous leader may have renewed the lease until it noticed that its term was over.
-		return now-c.leadingSince-c.opts.LeaderTTL > clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag))+leaseExpiryMargin
+		lastRenewal := max(c.leadingSince+c.opts.LeaderTTL, n.clockLostAt)
+		return now-lastRenewal > clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag))+leaseExpiryMargin
 	}
 	return n.estimatedClock(now, 1-maxClockLag) > n.leasedUntil+leaseExpiryMargin
 }
@@ -299,7 +301,7 @@
 					c.onPollError(n, worker, err)
 					return
 				}
-				c.pollAnswered(n, worker, request, sent, report)
+				c.pollAnswered(n, worker, sent, report)
 			})
 		})
 	}()
@@ -374,9 +376,6 @@
 		}
 		n.pollAnswered = false
 	}
-	if n.hasExited(now) && (len(n.runs) > 0 || len(n.unknownRuns) > 0) {
-		c.endIncarnation(n, 0, drainedAndGone)
-	}
 	if n.listed && n.worker.State == agent.Draining {
 		c.stopUnfinishableRuns(n, now)
 	}
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -9,25 +9,20 @@
 )
 
 // pollAnswered handles the answer to a poll. sent is when the poll was sent.
-func (c *Controller) pollAnswered(n *node, worker agent.Worker, request agent.Renewal, sent clock.Millis, report agent.Report) {
+func (c *Controller) pollAnswered(n *node, worker agent.Worker, sent clock.Millis, report agent.Report) {
 	now := c.opts.Clock.Now()
 	if n.worker.Address != worker.Address {
 		return
 	}
 	if report.StartedAt != 0 && n.workerStart != 0 && report.StartedAt != n.workerStart {
-		c.endIncarnation(n, report.StartedAt, restartReported)
+		c.onRestart(n, report.StartedAt)
 	}
 	if n.workerStart == 0 {
 		n.workerStart = report.StartedAt
 	}
 	first := !n.pollAnswered
 	n.pollAnswered = true
-	n.recordAnswer(report.Clock, now)
-	if request.Lease == 0 {
-		// The poll did not renew the lease, so a lease of an earlier leader may be in force.
-		// It ends at the latest when the longest lease has passed from now.
-		n.leasedUntil = max(n.leasedUntil, report.Clock+c.opts.Limits().Lease)
-	}
+	c.recordAnswer(n, report.Clock, now)
 	for _, e := range report.Ended {
 		c.handleEnd(n, e)
 	}
@@ -84,7 +79,7 @@
 func (c *Controller) reported(r *run, reported agent.Run, now clock.Millis) {
 	switch r.state {
 	case ordered, unconfirmed, inherited:
-		r.adopted = r.state == inherited
+		r.adopted, r.workerStart = r.state == inherited, r.node.workerStart
 		c.markPresent(r, now)
 		switch {
 		case r.task.part.job.state.Final():
