--- a/controller/alive_test.go
+++ b/controller/alive_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -16,30 +15,6 @@
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
-// overlaps describes each pair of runs of one task that were present at the same time.
-func (c *cluster) overlaps() []string {
-	byTask := make(map[string][]platformtest.Interval)
-	for _, x := range c.workers {
-		for _, i := range x.History() {
-			byTask[i.Task] = append(byTask[i.Task], i)
-		}
-	}
-	var found []string
-	for task, intervals := range byTask {
-		for i, a := range intervals {
-			for _, b := range intervals[:i] {
-				if b.Started.Before(a.Started) {
-					a, b = b, a
-				}
-				if a.Ended.IsZero() || a.Ended.After(b.Started) {
-					found = append(found, fmt.Sprintf("%s: run %d on %s and run %d on %s", task, a.Run, a.Worker, b.Run, b.Worker))
-				}
-			}
-		}
-	}
-	return found
-}
-
 // running returns the number of runs that are present on all workers.
 func (c *cluster) running() int {
 	total := 0
