controller: check the leadership and request the lease when an order is sent

An order was sent although the lease on the leadership might have ended: after the answer to the write that records a placement, and from the queue of orders, nothing asked again. An order in the queue also kept a lease by the clock of a process that may be known as gone by then.

--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -105,6 +105,17 @@
 	readDelay     time.Duration
 	// resumesAt is the time until which the instance is suspended.
 	resumesAt time.Time
+	// refuseRenewals makes all polls fail. commitAnswerDelay delays the answers to writes, as if the
+	// instance were suspended before it handles them.
+	refuseRenewals    bool
+	commitAnswerDelay time.Duration
+}
+
+// set changes the faults.
+func (h *hooks) set(change func(*hooks)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change(h)
 }
 
 func (h *hooks) Get(ctx context.Context, key string) (kv.Entry, error) {
@@ -118,6 +129,10 @@
 func (h *hooks) Commit(ctx context.Context, ops []kv.Op) (uint64, error) {
 	version, err := h.Store.Commit(ctx, ops)
 	h.mu.Lock()
+	delay := h.commitAnswerDelay
+	h.mu.Unlock()
+	time.Sleep(delay)
+	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.loseNextWrite {
 		h.loseNextWrite = false
@@ -192,7 +207,10 @@
 	if h.isMisdirected(w.ID) {
 		return agent.Report{}, agent.ErrReplaced
 	}
-	if h.isRefused(w.ID) {
+	h.mu.Lock()
+	refuse := h.refuseRenewals
+	h.mu.Unlock()
+	if refuse || h.isRefused(w.ID) {
 		return agent.Report{}, agent.ErrAbsent
 	}
 	ctx, cancel := h.awaitResumption(ctx)
--- /dev/null
+++ b/controller/late_test.go
@@ -0,0 +1,119 @@
+package controller_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/platform/platformtest"
+	"github.com/chestnutsail/chestnutsail/workflow"
+)
+
+// The load is one long task on a worker that restarts unknown to the leader, is cut off, or carries an
+// order out late.
+var _ = Describe("an order or a lease of which the leader knows too little", func() {
+	const shortLease = 3 * clock.Second
+	long := workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}}
+
+	// newLeader returns a cluster of one worker, which has done a job, and its leader.
+	newLeader := func(lease clock.Millis) (*cluster, *instance, *platformtest.Worker) {
+		c := newClusterWithLease(1, lease)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.completeJob(jobID(1))
+		return c, i, c.workers[0]
+	}
+
+	It("counts the longest lease when the order may have reached a new process", func() {
+		const longest = 10 * clock.Second
+		c, i, first := newLeader(longest)
+		time.Sleep(5 * time.Second) // the clock of the process that is known is ahead of the next one's
+		first.Restart()
+		i.set(func(h *hooks) { h.loseNextAnswer = true })
+		i.submit(jobID(2), long)
+		Eventually(first.Running, shortTimeout, time.Millisecond).Should(Equal(1))
+		c.addWorker("i-9")
+		Consistently(c.overlaps, longest.Duration()+2*time.Second).Should(BeEmpty())
+		Expect(c.workers[1].Running()).To(Equal(1))
+	})
+
+	It("stops a run that ended with its process while a copy of its order is under way", func() {
+		c, i, first := newLeader(shortLease)
+		time.Sleep(shortLease.Duration() + time.Second)
+		first.DelayStarts(2*time.Second, 1)
+		i.submit(jobID(2), long)
+		Eventually(first.Running, shortTimeout, time.Millisecond).Should(Equal(1)) // the second copy
+		time.Sleep(300 * time.Millisecond)
+		first.Drain(time.Minute) // so that the task goes to the other worker
+		c.addWorker("i-9")
+		time.Sleep(400 * time.Millisecond) // the new worker is listed and polled
+		first.Restart()
+		Consistently(c.overlaps, 2500*time.Millisecond).Should(BeEmpty())
+		Eventually(c.running, shortTimeout).Should(Equal(1))
+	})
+
+	It("gives up a run whose order a new process answered before its polls fail, once its lease has expired", func() {
+		c, i, first := newLeader(shortLease)
+		time.Sleep(8 * time.Second) // the clock of the process that is known is ahead of the next one's
+		first.Restart()
+		i.set(func(h *hooks) { h.refuseRenewals = true })
+		i.submit(jobID(2), long)
+		Eventually(first.Running, shortTimeout, time.Millisecond).Should(Equal(1))
+		i.setRefused("i-0", true)
+		c.addWorker("i-9")
+		i.set(func(h *hooks) { h.refuseRenewals = false })
+		// The lease by a clock that is 3 % slow, its margin of 300 ms, and a few round trips.
+		Eventually(c.workers[1].Running, shortLease.Duration()*103/100+time.Second).Should(Equal(1))
+		Expect(c.overlaps()).To(BeEmpty())
+	})
+
+	It("keeps a run through a cut of 6 s where leases are 10 s", func() {
+		c, i, first := newLeader(10 * clock.Second)
+		i.submit(jobID(2), long)
+		Eventually(first.Running, shortTimeout).Should(Equal(1))
+		time.Sleep(4 * time.Second) // the lease of the first contact ends sooner than the one requested now
+		first.HangCalls(true)
+		time.Sleep(6 * time.Second)
+		first.HangCalls(false)
+		Consistently(func() int { return len(c.starts(jobID(2) + ".0.0.0")) }, 3*time.Second).Should(Equal(1))
+	})
+
+	It("is not sent once the lease on the leadership may have ended", func() {
+		c, i, first := newLeader(shortLease)
+		i.set(func(h *hooks) { h.commitAnswerDelay = 1800 * time.Millisecond })
+		i.submit(jobID(2), long)
+		time.Sleep(100 * time.Millisecond) // the placement is recorded
+		c.store.SetFaults(func(f *platformtest.Faults) { f.Down = true })
+		Eventually(i.isLeader, 2*time.Second).Should(BeFalse())
+		Consistently(first.Running, 2500*time.Millisecond).Should(BeZero())
+	})
+
+	It("starts no task again whose end is not among the first 500 of its worker", func() {
+		c, i, first := newLeader(10 * clock.Second)
+		small := step(600)
+		small.Cores, small.Accels = 100, 0
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=4000", Steps: []workflow.Step{small}})
+		Eventually(first.Running, shortTimeout).Should(Equal(600))
+		first.HangCalls(true)
+		Eventually(first.Running, 5*time.Second).Should(BeZero())
+		first.HangCalls(false)
+		Eventually(func() workflow.State { return i.state(jobID(2)) }, leaseTimeout).Should(Equal(workflow.Completed))
+		Expect(first.Starts()).To(HaveLen(601))
+		Expect(c.overlaps()).To(BeEmpty())
+	})
+
+	It("holds its task while a new process that stays cut off may carry it out late", func() {
+		c, i, first := newLeader(shortLease)
+		time.Sleep(shortLease.Duration() + time.Second)
+		first.DelayStarts(2500*time.Millisecond, 1)
+		i.submit(jobID(2), long)
+		time.Sleep(100 * time.Millisecond)
+		first.HangCalls(true)
+		c.addWorker("i-9")
+		first.Restart()
+		first.Register("ready")
+		Consistently(c.overlaps, 8*time.Second).Should(BeEmpty())
+	})
+})
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -21,28 +21,18 @@
 )
 
 // orderStart orders the worker of a run to start it. If there is no answer, the same order is
-// sent again, since a worker carries it out only once. If the worker has not answered recently
-// enough for its lease to be renewed, the run is removed instead.
+// sent again, since a worker carries it out only once.
 func (c *Controller) orderStart(r *run) {
 	r.setState(ordered, c.opts.Clock.Now())
 	t := r.task
 	order := agent.Order{
 		Task: t.id(), Run: r.number, Payload: t.part.job.record.Spec.Payload,
-		Lease: c.nextLease(r.node), Fence: c.term, Checkpoint: t.checkpoint,
+		Fence: c.term, Checkpoint: t.checkpoint,
 	}
 	if t.part.step.Gang {
 		order.Checkpoint = t.part.checkpoint()
 	}
 	r.resumed = order.Checkpoint != ""
-	if order.Lease == 0 {
-		c.opts.Log.WithFields(r.logFields()).Info("controller: run not ordered; its worker stopped answering after the plan was made")
-		c.removeRun(r, agent.LeaseExpired, notOrdered, "")
-		return
-	}
-	if c.firstOrderPending {
-		c.firstOrderPending = false
-		c.opts.Log.WithFields(logrus.Fields{"term": c.term, "took_ms": int64(c.opts.Clock.Now() - c.leadingSince)}).Info("controller: first order of the term")
-	}
 	c.enqueueOrder(r, order)
 }
 
@@ -50,12 +40,37 @@
 func (c *Controller) enqueueOrder(r *run, order agent.Order) {
 	c.queuedOrders = append(c.queuedOrders, func() {
 		if r.task.run == r && r.state == ordered {
-			c.sendOrder(r, order)
+			c.sendDueOrder(r, order)
 		}
 	})
 	c.sendQueuedOrders()
 }
 
+// sendDueOrder sends an order at the head of the queue. The lease is requested only now: what is known
+// of the worker may have changed while the order waited, and so may the leadership. If the lease must
+// not be renewed, a run that has not been ordered yet is removed; an order without an answer waits.
+func (c *Controller) sendDueOrder(r *run, order agent.Order) {
+	if !c.leadershipConfirmed() {
+		c.retryOrder(r, order)
+		return
+	}
+	order.Lease = c.nextLease(r.node)
+	switch {
+	case order.Lease == 0 && r.orderUnanswered:
+		c.retryOrder(r, order)
+		return
+	case order.Lease == 0:
+		c.opts.Log.WithFields(r.logFields()).Info("controller: run not ordered; its worker stopped answering after the plan was made")
+		c.removeRun(r, agent.LeaseExpired, notOrdered, "")
+		return
+	}
+	if c.firstOrderPending {
+		c.firstOrderPending = false
+		c.opts.Log.WithFields(logrus.Fields{"term": c.term, "took_ms": int64(c.opts.Clock.Now() - c.leadingSince)}).Info("controller: first order of the term")
+	}
+	c.sendOrder(r, order)
+}
+
 // sendQueuedOrders sends queued orders while fewer than maxOrdersInFlight are in flight.
 func (c *Controller) sendQueuedOrders() {
 	for len(c.queuedOrders) > 0 && c.ordersInFlight < maxOrdersInFlight {
@@ -93,10 +108,9 @@
 	}()
 }
 
-// retryOrder queues an unanswered order again after retryDelay, as long as the run is wanted.
-// While the leadership is not confirmed, or the worker's lease must not be renewed, it waits for
-// another retryDelay. The lease is requested anew: a process that has started since the last copy
-// would hold the run for the longest lease from when it gets this one.
+// retryOrder queues an order again after retryDelay, as long as the run is wanted. It requests the
+// lease anew: a process that has started since the last copy would hold the run for the longest lease
+// from when it gets this one.
 func (c *Controller) retryOrder(r *run, order agent.Order) {
 	c.countRetry("order")
 	term := c.term
@@ -104,17 +118,9 @@
 		clock.Sleep(c.ctx, retryDelay)
 		c.post(func() {
 			c.runInTerm(term, func() {
-				if r.task.run != r || r.state != ordered {
-					return
-				}
-				if c.leadershipConfirmed() {
-					if lease := c.nextLease(r.node); lease != 0 {
-						order.Lease = lease
-						c.enqueueOrder(r, order)
-						return
-					}
+				if r.task.run == r && r.state == ordered {
+					c.enqueueOrder(r, order)
 				}
-				c.retryOrder(r, order)
 			})
 		})
 	}()
