controller: don't take a run for ended while its worker may list more ends

Callers saw tasks start again that were done: a worker lists at most 500 ends at a time, and a run that was neither among the present ones nor among these counted as gone. A report now tells whether there may be more ends; while there may, no run counts as ended for not being listed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -149,6 +149,8 @@
 	StartedAt clock.Millis
 	Running   []Run
 	Ended     []RunEnd
+	// MoreEnds reports whether there may be further ends that do not fit into the report.
+	MoreEnds bool
 }
 
 // State is the state of a worker; only a Ready worker accepts new runs.
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -52,7 +52,9 @@
 			partsSeen[r.task.part] = true
 			continue
 		}
-		c.onRunMissing(r, sent)
+		if !report.MoreEnds {
+			c.onRunMissing(r, sent)
+		}
 	}
 	for p := range partsSeen {
 		c.assessPace(p, now)
