controller: stop a run that a restarted worker lacks while a copy of its order is under way

Callers saw a task run twice at once: a copy of an order got no answer, the next one was accepted, and the worker restarted under its ID. The run was missing from the new process's list and placed elsewhere, and the first copy then reached the new process, which knows neither the run nor the fence. Such a run, or one of an earlier leader's, is now stopped in the new process first, which makes it reject the order.

--- a/controller/polls.go
+++ b/controller/polls.go
@@ -98,11 +98,17 @@
 }
 
 // onRunMissing handles an expected run that its worker did not report. The run has ended if
-// the poll was sent after the run was known to be present, or after its stop took effect.
+// the poll was sent after the run was known to be present, or after its stop took effect. But a copy of
+// its order that went to an earlier process of the worker may still reach this one, unless this one is
+// told to stop the run.
 func (c *Controller) onRunMissing(r *run, sent clock.Millis) {
 	switch r.state {
 	case present, unconfirmed:
 		if sent > r.stateSince {
+			if r.orderUnanswered && r.ofEarlierProcess() {
+				c.stopRun(r, "its worker has started anew")
+				return
+			}
 			c.opts.Log.WithFields(r.logFields()).Warn("controller: run is no longer on its worker")
 			c.removeRun(r, agent.LeaseExpired, notReported, "")
 		}
@@ -114,7 +120,11 @@
 	case inherited:
 		// The order of the earlier leader did not arrive, and the worker rejects it from now
 		// on because of its lower fence. Other runs may have taken the room since, so the
-		// task waits to be placed again.
+		// task waits to be placed again. A process that has started since does not know the fence.
+		if r.ofEarlierProcess() {
+			c.stopRun(r, "its worker has started anew")
+			return
+		}
 		c.removeRun(r, agent.Stopped, notReported, "")
 	}
 }
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -80,6 +80,10 @@
 	return r
 }
 
+// ofEarlierProcess reports whether the run was ordered from, or last seen on, an earlier process of its
+// worker than the one that answered last.
+func (r *run) ofEarlierProcess() bool { return r.workerStart != r.node.workerStart }
+
 func (r *run) setState(s runState, now clock.Millis) { r.state, r.stateSince = s, now }
 
 // shape returns the resources that one task of a part uses on a worker. Filler tasks use
@@ -98,7 +102,7 @@
 		return
 	}
 	now := c.opts.Clock.Now()
-	if workerClock > 0 && r.workerStart == r.node.workerStart {
+	if workerClock > 0 && !r.ofEarlierProcess() {
 		c.recordAnswer(r.node, workerClock, now)
 	}
 	switch {
