controller: notice from the answer to an order that the worker's clock has started again

A new process of a worker may answer an order before any poll. Its clock went beside the lease of the earlier one, so if the worker then fell silent, its runs were held for as long as the earlier process had run, instead of for the lease. An answer whose clock is behind the slowest estimate now makes the clock unknown, which a poll or the longest lease settles. An answer to a poll of a worker that has been dropped meanwhile is ignored, as its runs may belong to the entry that came after.

--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -300,6 +300,9 @@
 		c.post(func() {
 			c.runInTerm(term, func() {
 				n.polling = false
+				if c.nodes[n.id] != n {
+					return
+				}
 				if err != nil {
 					c.onPollError(n, worker, err)
 					return
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -102,7 +102,12 @@
 		return
 	}
 	now := c.opts.Clock.Now()
-	if workerClock > 0 && !r.ofEarlierProcess() {
+	switch {
+	case workerClock == 0 || r.ofEarlierProcess():
+	case workerClock+orderTimeout < r.node.estimatedClock(now, 1-maxClockLag):
+		// The clock has started again, so another process has answered.
+		c.forgetClock(r.node)
+	default:
 		c.recordAnswer(r.node, workerClock, now)
 	}
 	switch {
