controller: acknowledge ends only to the process that listed them

Callers saw tasks start again that were done: every poll repeated the number of the last acknowledged end, so a process that had started since forgot its own ends up to that number before the leader had seen them, and their runs counted as gone. Ends are now acknowledged once, after a report that lists them and with no failed call since, and at once when the worker is idle: before, an idle worker's ends stayed unacknowledged until its next order.

--- a/controller/ends.go
+++ b/controller/ends.go
@@ -55,7 +55,7 @@
 	}
 	n.polling = true
 	term, worker := c.term, n.worker
-	request := agent.Renewal{Fence: term, Acked: n.ackedEnd, Wait: readWait}
+	request := agent.Renewal{Fence: term, Wait: readWait}
 	if len(n.unackedEnds) > 0 {
 		// The worker answers at once as long as ends are not acknowledged.
 		request.Wait = 0
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -40,7 +40,7 @@
 func (c *Controller) onRestart(n *node, start clock.Millis) {
 	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "born": int64(start), "born_before": int64(n.workerStart)}).Warn("controller: worker has restarted")
 	n.process++
-	n.workerStart, n.handledEnd, n.ackedEnd, n.unackedEnds = start, 0, 0, nil
+	n.workerStart, n.handledEnd, n.ackedEnd, n.ackSent, n.unackedEnds = start, 0, 0, 0, nil
 	n.clockReadAt, n.slowUntil = 0, 0
 	clear(n.unknownRuns)
 	for r := range n.runs {
--- a/controller/late_test.go
+++ b/controller/late_test.go
@@ -54,6 +54,18 @@
 		Eventually(c.running, shortTimeout).Should(Equal(1))
 	})
 
+	It("acknowledges no end of a new process in place of an earlier one's", func() {
+		c, i, first := newLeader(shortLease)
+		Eventually(first.AckedEndNumber, shortTimeout).Should(Equal(1))
+		first.Restart()
+		i.set(func(h *hooks) { h.refuseRenewals = true })
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
+		Eventually(func() int { return first.Done(jobID(2) + ".0.0.0") }, shortTimeout).Should(Equal(1))
+		i.set(func(h *hooks) { h.refuseRenewals = false })
+		Eventually(func() workflow.State { return i.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
+		Expect(c.starts(jobID(2) + ".0.0.0")).To(HaveLen(1))
+	})
+
 	It("gives up a run whose order a new process answered before its polls fail, once its lease has expired", func() {
 		c, i, first := newLeader(shortLease)
 		time.Sleep(8 * time.Second) // the clock of the process that is known is ahead of the next one's
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -88,6 +88,10 @@
 	handledEnd  int
 	ackedEnd    int
 	unackedEnds []unackedEnd
+	// listsEnds reports whether the worker's last report had ends in it, and ackSent is the highest
+	// ackedEnd that was sent to its process.
+	listsEnds bool
+	ackSent   int
 	runs        map[*run]bool
 	// unknownRuns are runs that the worker reports but that belong to no current run of a
 	// job. They are being stopped.
@@ -252,7 +256,7 @@
 // it has runs or ended runs to report, ends are not acknowledged to it yet, or it failed a call and
 // gets no new work until it answers again.
 func (n *node) needsPoll() bool {
-	return n.worker.Address != "" && (!n.pollAnswered || (n.failing && n.listed) || len(n.runs) > 0 || len(n.unknownRuns) > 0 || len(n.unackedEnds) > 0 || n.handledEnd > n.ackedEnd)
+	return n.worker.Address != "" && (!n.pollAnswered || (n.failing && n.listed) || len(n.runs) > 0 || len(n.unknownRuns) > 0 || len(n.unackedEnds) > 0 || n.ackDue() > n.ackSent)
 }
 
 // poll asks a worker for its runs and ends, and renews its lease, unless there is no need or a
@@ -273,7 +277,8 @@
 		// The worker would answer at once with the same ends.
 		return
 	}
-	request := agent.Renewal{Fence: c.term, Acked: n.ackedEnd}
+	request := agent.Renewal{Fence: c.term, Acked: n.ackDue()}
+	n.ackSent = max(n.ackSent, request.Acked)
 	if !n.failing {
 		// The lease of a worker that may have ended is not renewed before it answers: the sooner the
 		// lease expires, the sooner its runs can be placed again.
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -23,6 +23,7 @@
 	first := !n.pollAnswered
 	n.pollAnswered = true
 	c.recordAnswer(n, report.Clock, now)
+	n.listsEnds = len(report.Ended) > 0
 	for _, e := range report.Ended {
 		c.handleEnd(n, e)
 	}
@@ -262,6 +263,16 @@
 	n.unackedEnds = append(n.unackedEnds, u)
 }
 
+// ackDue returns the number up to which ends are to be acknowledged to a worker; 0 if there are none.
+// A process that has started since the last report would forget its own ends up to that number, so
+// nothing is acknowledged without need, or after a failed call.
+func (n *node) ackDue() int {
+	if n.failing || !n.listsEnds {
+		return 0
+	}
+	return n.ackedEnd
+}
+
 // advanceAckedEnd raises ackedEnd to the last end before the first one whose change is not recorded.
 func (c *Controller) advanceAckedEnd(n *node) {
 	for len(n.unackedEnds) > 0 {
