--- /dev/null
+++ b/controller/odd_test.go
@@ -0,0 +1,98 @@
+package controller_test
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/platform/platformtest"
+	"github.com/chestnutsail/chestnutsail/workflow"
+)
+
+// copyEntry writes the entry of the worker i-0 with changed fields under another ID.
+func (c *cluster) copyEntry(id string, changed map[string]any) {
+	GinkgoHelper()
+	c.store.Put(platform.WorkersPrefix+id, c.store.Value(platform.WorkersPrefix+"i-0"))
+	c.putEntry(id, changed)
+}
+
+// nested returns a JSON value of lists within lists.
+func nested(levels int) json.RawMessage {
+	return json.RawMessage(strings.Repeat("[", levels) + strings.Repeat("]", levels))
+}
+
+var _ = Describe("an entry of another writer among the workers'", func() {
+	DescribeTable("does not keep the leader from following the list and giving work",
+		func(odd func(c *cluster, id string)) {
+			c := newCluster(1)
+			odd(c, "a-listed")
+			odd(c, "z-listed")
+			i := c.startInstance(nil)
+			Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+			i.completeJob(jobID(1))
+			odd(c, "a-watched")
+			c.addWorker("i-1")
+			odd(c, "z-watched")
+			both := step(2)
+			both.PerWorker = 1
+			i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{both}})
+			Eventually(func() workflow.State { return i.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
+			gang := gangOf(2)
+			gang.Accels = 8
+			i.submit(jobID(3), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{gang}})
+			Eventually(func() workflow.State { return i.state(jobID(3)) }, shortTimeout).Should(Equal(workflow.Completed))
+			Expect(i.isLeader()).To(BeTrue())
+		},
+		Entry("when it is empty", func(c *cluster, id string) { c.store.Put(platform.WorkersPrefix+id, []byte{}) }),
+		Entry("when it is binary", func(c *cluster, id string) { c.store.Put(platform.WorkersPrefix+id, []byte("\x00\xff\xfe{")) }),
+		Entry("when it is cut off", func(c *cluster, id string) {
+			whole := c.store.Value(platform.WorkersPrefix + "i-0")
+			c.store.Put(platform.WorkersPrefix+id, whole[:len(whole)/2])
+		}),
+		Entry("when it has 10,000 levels", func(c *cluster, id string) { c.store.Put(platform.WorkersPrefix+id, nested(10000)) }),
+		Entry("when it has 1,000,000 levels", func(c *cluster, id string) { c.store.Put(platform.WorkersPrefix+id, nested(1000000)) }),
+		Entry("when a field that nothing reads has 9,000 levels", func(c *cluster, id string) {
+			c.copyEntry(id, map[string]any{"other": nested(9000)})
+		}),
+		Entry("when its labels have 9,000 levels", func(c *cluster, id string) { c.copyEntry(id, map[string]any{"labels": nested(9000)}) }),
+		Entry("when a number can't be represented", func(c *cluster, id string) {
+			c.copyEntry(id, map[string]any{"born": json.Number("1e400")})
+		}),
+		Entry("when its port is out of range", func(c *cluster, id string) { c.copyEntry(id, map[string]any{"address": "127.0.0.1:65536"}) }),
+		Entry("when nothing listens at its address", func(c *cluster, id string) { c.copyEntry(id, map[string]any{"address": "127.0.0.1:1"}) }),
+		Entry("when it has the address of a worker", func(c *cluster, id string) { c.copyEntry(id, nil) }),
+		Entry("when its key has no ID", func(c *cluster, _ string) { c.copyEntry("", nil) }),
+	)
+
+	DescribeTable("does not disturb the run of the worker in whose place it stands, and the worker's next entry brings it work again",
+		func(changed map[string]any) {
+			c := newCluster(2)
+			i := c.startInstance(nil)
+			Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+			i.submit(jobID(1), workflow.Spec{Payload: "ms=8000", Steps: []workflow.Step{step(1)}})
+			Eventually(c.running, shortTimeout).Should(Equal(1))
+			time.Sleep(1200 * time.Millisecond) // until the run's pace is known
+			x := c.workers[slices.IndexFunc(c.workers, func(x *platformtest.Worker) bool { return x.Running() > 0 })]
+			c.putEntry(x.ID(), changed)
+			Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, lease.Duration()).Should(Equal(1))
+			Expect(x.Running()).To(Equal(1))
+			x.Register("ready")
+			time.Sleep(300 * time.Millisecond) // longer than the interval of the watch
+			both := step(2)
+			both.Accels, both.PerWorker = 7, 1
+			i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{both}})
+			Eventually(func() workflow.State { return i.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
+		},
+		Entry("when a number in it can't be represented", map[string]any{"born": json.Number("1e400")}),
+		Entry("when a field in it has 10,000 levels", map[string]any{"other": nested(10000)}),
+		Entry("when its address has a port out of range", map[string]any{"address": "127.0.0.1:65536"}),
+		Entry("when its address has a port that is no number", map[string]any{"address": "127.0.0.1:http"}),
+		Entry("when its address has no port", map[string]any{"address": "127.0.0.1"}),
+		Entry("when its address has a path", map[string]any{"address": "127.0.0.1:1/path"}),
+	)
+})
