--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -26,7 +26,15 @@
 	return json.RawMessage(strings.Repeat("[", levels) + strings.Repeat("]", levels))
 }
 
+// capacity returns the field of an entry with the same number for each resource.
+func capacity(number string) map[string]any {
+	n := json.Number(number)
+	return map[string]any{"capacity": map[string]any{"cpu": n, "memMb": n, "gpu": n}}
+}
+
 var _ = Describe("an entry of another writer among the workers'", func() {
+	const largest, smallest = "9223372036854775807", "-9223372036854775808"
+
 	DescribeTable("does not keep the leader from following the list and giving work",
 		func(odd func(c *cluster, id string)) {
 			c := newCluster(1)
@@ -63,6 +71,8 @@
 		Entry("when a number can't be represented", func(c *cluster, id string) {
 			c.copyEntry(id, map[string]any{"born": json.Number("1e400")})
 		}),
+		Entry("when its capacity is the largest number", func(c *cluster, id string) { c.copyEntry(id, capacity(largest)) }),
+		Entry("when its capacity is the smallest number", func(c *cluster, id string) { c.copyEntry(id, capacity(smallest)) }),
 		Entry("when its port is out of range", func(c *cluster, id string) { c.copyEntry(id, map[string]any{"address": "127.0.0.1:65536"}) }),
 		Entry("when nothing listens at its address", func(c *cluster, id string) { c.copyEntry(id, map[string]any{"address": "127.0.0.1:1"}) }),
 		Entry("when it has the address of a worker", func(c *cluster, id string) { c.copyEntry(id, nil) }),
@@ -94,5 +104,21 @@
 		Entry("when its address has a port that is no number", map[string]any{"address": "127.0.0.1:http"}),
 		Entry("when its address has no port", map[string]any{"address": "127.0.0.1"}),
 		Entry("when its address has a path", map[string]any{"address": "127.0.0.1:1/path"}),
+		Entry("when the time of its start is too large", map[string]any{"born": json.Number(largest)}),
+		Entry("when the time that it has left is too large", map[string]any{"state": "draining", "remainingMs": json.Number(largest)}),
+		Entry("when the time that it has left is negative", map[string]any{"state": "draining", "remainingMs": -1}),
+		Entry("when its capacity is too large", capacity(largest)),
+		Entry("when its capacity is negative", capacity(smallest)),
 	)
+
+	It("brings its worker no more work than there is room", func() {
+		c := newCluster(1)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(8)}})
+		Eventually(c.running, shortTimeout).Should(Equal(8))
+		c.putEntry("i-0", capacity(smallest))
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		Consistently(c.running, time.Second).Should(Equal(8))
+	})
 })
