--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -121,4 +121,16 @@
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
 		Consistently(c.running, time.Second).Should(Equal(8))
 	})
+
+	// A header loses the space, so the worker takes the calls for its own.
+	It("does not stop the runs of the worker whose ID it has with a space", func() {
+		c := newCluster(1)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		Eventually(c.running, shortTimeout).Should(Equal(1))
+		c.copyEntry("i-0 ", nil)
+		Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, time.Second).Should(Equal(1))
+		Expect(c.running()).To(Equal(1))
+	})
 })
