--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -133,4 +133,20 @@
 		Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, time.Second).Should(Equal(1))
 		Expect(c.running()).To(Equal(1))
 	})
+
+	DescribeTable("brings its worker no work",
+		func(field string) {
+			c := newCluster(1)
+			c.putEntry("i-0", map[string]any{field: nil})
+			i := c.startInstance(nil)
+			Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+			i.submit(jobID(1), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{{Count: 1, Estimate: 20}}})
+			Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, time.Second).Should(BeZero())
+			c.workers[0].Register("ready")
+			Eventually(func() workflow.State { return i.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Completed))
+		},
+		Entry("without a zone", "zone"),
+		Entry("without a capacity", "capacity"),
+		Entry("without labels", "labels"),
+	)
 })
