controller: log an odd entry once a change

Each reading of the list logged each invalid entry again. The list is read whenever the watch fails, up to several times a second while the store's history is cut, so that the odd entries filled the log.

Evidence: go test ./controller -ginkgo.focus 'logged once a change' failed before and passes.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -133,7 +133,9 @@
 	jobs          map[string]*job
 	nodes         map[string]*node
 	workersMirror *mirror.Mirror
-	dirty         map[*job]bool
+	// invalidEntries holds the version of each entry that was found to be no worker's, by key.
+	invalidEntries map[string]uint64
+	dirty          map[*job]bool
 	// flushing is set while progress is being written to the store. dirty holds the jobs whose
 	// progress has yet to be written.
 	flushing bool
@@ -265,6 +267,7 @@
 	c.term, c.leadingSince, c.firstOrderPending = term, c.opts.Clock.Now(), true
 	c.jobs = make(map[string]*job)
 	c.nodes = make(map[string]*node)
+	c.invalidEntries = make(map[string]uint64)
 	c.dirty = make(map[*job]bool)
 	c.unreachable = nil
 	c.demandPeaks = make(map[string]*peak.Peak)
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -138,6 +138,7 @@
 		stillListed[e.Key[len(c.opts.Prefix):]] = true
 		c.updateNode(e)
 	}
+	c.forgetInvalidEntries(stillListed)
 	for id, n := range c.nodes {
 		if !stillListed[id] {
 			c.markUnlisted(n, c.opts.Clock.Now())
@@ -156,6 +157,7 @@
 	for _, e := range changes {
 		if e.Deleted {
 			id := e.Key[len(c.opts.Prefix):]
+			delete(c.invalidEntries, e.Key)
 			if n := c.nodes[id]; n != nil {
 				c.markUnlisted(n, c.opts.Clock.Now())
 			}
@@ -171,7 +173,7 @@
 func (c *Controller) updateNode(e kv.Entry) {
 	worker, err := c.opts.Decode(e.Key, e.Value)
 	if err != nil {
-		c.opts.Log.WithError(err).Warn("controller: worker entry is invalid; ignoring it")
+		c.logInvalidEntry(e, err)
 		return
 	}
 	n := c.nodeByID(worker.ID)
--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -21,6 +21,17 @@
 	c.putEntry(id, changed)
 }
 
+// logged returns the number of an instance's log messages that contain a text.
+func (i *instance) logged(text string) int {
+	count := 0
+	for _, e := range i.logs.AllEntries() {
+		if strings.Contains(e.Message, text) {
+			count++
+		}
+	}
+	return count
+}
+
 // nested returns a JSON value of lists within lists.
 func nested(levels int) json.RawMessage {
 	return json.RawMessage(strings.Repeat("[", levels) + strings.Repeat("]", levels))
@@ -149,4 +160,21 @@
 		Entry("without a capacity", "capacity"),
 		Entry("without labels", "labels"),
 	)
+
+	It("is logged once a change, however often the list is read", func() {
+		c := newCluster(1)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		lines := func() int { return i.logged("entry is invalid") }
+		c.store.Put(platform.WorkersPrefix+"odd", nested(3))
+		Eventually(lines, shortTimeout).Should(Equal(1))
+		for n := range 3 {
+			c.store.Put("other", nil)
+			c.store.Compact()
+			Eventually(func() int { return i.logged("store is reachable again") }, shortTimeout).Should(Equal(2*n+2), "the lists of workers and of jobs are read again")
+		}
+		Expect(lines()).To(Equal(1))
+		c.store.Put(platform.WorkersPrefix+"odd", nested(4))
+		Eventually(lines, shortTimeout).Should(Equal(2))
+	})
 })
