controller: don't count workers that never answered against their failure domain

A failure domain gets no work while three of its workers are overdue and none has answered for 400 ms. Idle workers are not polled, so three entries of another writer with an address where nothing listens were enough, in a domain whose workers are all well: the domain was flagged, and its workers got no work until a probe had been answered. A worker that has not answered yet in the term gets no work anyway, so it doesn't count any more, neither as overdue nor as a worker of the domain.

Evidence: go test ./controller -ginkgo.focus 'count as unreachable' failed before (flagged within 0.5 s) and passes; the specs of 'unreachable workers' pass.

--- a/controller/domains.go
+++ b/controller/domains.go
@@ -44,7 +44,8 @@
 func (c *Controller) unreachableDomains(now clock.Millis) map[string]bool {
 	contacts := make(map[string]*domainContact)
 	for _, n := range c.nodes {
-		if !n.listed {
+		if !n.listed || n.lastAnswer == 0 {
+			// What has never answered gets no work, and may be an entry of another writer.
 			continue
 		}
 		d := contacts[n.worker.Domain]
--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -177,4 +178,19 @@
 		c.store.Put(platform.WorkersPrefix+"odd", nested(4))
 		Eventually(lines, shortTimeout).Should(Equal(2))
 	})
+
+	// Idle workers are not polled, so only the entries at which nothing answers look overdue.
+	It("does not make the workers of its failure domain count as unreachable", func() {
+		c := newCluster(2)
+		for n := range 3 {
+			c.copyEntry(fmt.Sprint("odd-", n), map[string]any{"address": "127.0.0.1:1"})
+		}
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.completeJob(jobID(1))
+		tooLarge := step(1)
+		tooLarge.Accels = 99
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{tooLarge}})
+		Consistently(func() int { return i.logged("reachability of a failure domain changed") }, 2*time.Second).Should(BeZero())
+	})
 })
