controller: send fewer orders to a worker that lacks the room that its entry claims

An entry of another writer in place of a worker's may claim any capacity, and no check of the entry shows it. The worker rejected the orders beyond its real room, answered the next poll, and was sent the same orders again at once: four tasks made 124 rejected orders and 85 transactions of the store in 3 s, and as many log lines, at the expense of all writers' share of the store. After a rejection the worker's runs are read again, as before. If it rejects an order for lack of room once more then, it gets no new tasks for 250 ms, and for twice as long each further time, up to 2 s; an accepted order or a new process ends that.

--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -86,6 +86,8 @@
 	refusedWorkers map[string]bool
 	// unhealthyWorkers holds the IDs of the workers that reject each order as unhealthy.
 	unhealthyWorkers map[string]bool
+	// fullWorkers holds the IDs of the workers that reject each order for lack of room.
+	fullWorkers map[string]bool
 	// misdirectedWorkers holds the IDs of the workers at whose address another instance answers.
 	misdirectedWorkers map[string]bool
 	// loseNextAnswer discards the worker's answer to the next Start and then refuses all calls
@@ -138,6 +140,18 @@
 	return h.refusedWorkers[id]
 }
 
+func (h *hooks) setFull(id string, full bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fullWorkers[id] = full
+}
+
+func (h *hooks) isFull(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fullWorkers[id]
+}
+
 func (h *hooks) setMisdirected(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -160,6 +174,9 @@
 	if h.unhealthyWorkers[w.ID] {
 		return agent.Unhealthy, 0, nil
 	}
+	if h.isFull(w.ID) {
+		return agent.Full, 0, nil
+	}
 	verdict, workerClock, err := h.WorkerClient.Start(ctx, w, o)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -213,7 +230,7 @@
 	i := &instance{
 		hooks: &hooks{
 			Store: platform.NewStore(platform.StoreOptions{Address: c.store.Address()}), WorkerClient: platform.NewWorkerClient(),
-			refusedWorkers: make(map[string]bool), misdirectedWorkers: make(map[string]bool),
+			refusedWorkers: make(map[string]bool), misdirectedWorkers: make(map[string]bool), fullWorkers: make(map[string]bool),
 		},
 		board: board.New(nil),
 		logs:  logtest.NewLocal(log),
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -33,7 +33,7 @@
 		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "reason": string(reason), "born": int64(workerStart)}).Warn("controller: worker process has ended")
 	}
 	n.workerStart, n.pollAnswered, n.handledEnd, n.ackedEnd, n.unackedEnds = workerStart, false, 0, 0, nil
-	n.clock, n.clockReadAt, n.leasedUntil, n.lastAnswer, n.slowUntil, n.failing, n.refusing = 0, 0, 0, 0, 0, false, false
+	n.clock, n.clockReadAt, n.leasedUntil, n.lastAnswer, n.slowUntil, n.fullDelay, n.failing, n.refusing = 0, 0, 0, 0, 0, 0, false, false
 	clear(n.unknownRuns)
 	for r := range n.runs {
 		if r.orderUnanswered && r.state == ordered {
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -102,6 +102,9 @@
 	// the time until which the worker gets no new tasks.
 	suspectUntil clock.Millis
 	noWorkUntil  clock.Millis
+	// fullDelay is how long the worker gets no new tasks if it rejects one more order for lack of
+	// room.
+	fullDelay clock.Millis
 	// speed is the worker's usual speed, without phases in which it was far slower than others.
 	speed speed.Mean
 	// slowUntil is the time until which the worker counts as far slower than others.
--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -193,4 +193,30 @@
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{tooLarge}})
 		Consistently(func() int { return i.logged("reachability of a failure domain changed") }, 2*time.Second).Should(BeZero())
 	})
+
+	// The room that an entry claims can't be checked. What it claims too much, the worker rejects.
+	It("that claims room that its worker lacks brings the worker few orders in vain, and the work gets room elsewhere", func() {
+		c := newCluster(2)
+		c.putEntry("i-0", capacity("1000000"))
+		i := c.startInstance(func(h *hooks) { h.setFull("i-0", true) })
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=4000", Steps: []workflow.Step{step(8)}})
+		Eventually(c.workers[1].Running, shortTimeout).Should(Equal(8))
+		before := c.store.AppliedTxns()
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=100", Steps: []workflow.Step{step(4)}})
+		time.Sleep(3 * time.Second)
+		Expect(i.logged("order rejected")).To(BeNumerically("<=", 24))
+		Expect(c.store.AppliedTxns() - before).To(BeNumerically("<=", 24))
+		Eventually(func() workflow.State { return i.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
+	})
+
+	It("does not keep a worker that lacked room twice from work for long", func() {
+		c := newCluster(1)
+		i := c.startInstance(func(h *hooks) { h.setFull("i-0", true) })
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
+		Eventually(func() int { return i.logged("order rejected") }, shortTimeout).Should(BeNumerically(">=", 2))
+		i.setFull("i-0", false)
+		Eventually(func() workflow.State { return i.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Completed))
+	})
 })
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -69,6 +69,11 @@
 	// unhealthyDelay is how long a worker gets no new tasks after it answered an order with
 	// the verdict agent.Unhealthy.
 	unhealthyDelay = clock.Second
+	// minFullDelay is how long a worker gets no new tasks after it had too little room for an order
+	// although it has reported its runs since the last such order. The delay doubles with each
+	// further time, up to maxFullDelay, until the worker accepts an order.
+	minFullDelay = 250 * clock.Millisecond
+	maxFullDelay = 2 * clock.Second
 )
 
 // assignRun adds a run of a task to a worker, as the task's current run.
@@ -112,6 +117,7 @@
 		c.opts.Log.WithError(err).WithFields(r.logFields()).Warn("controller: no answer to an order; it will be sent again")
 		c.retryOrder(r, order)
 	case verdict == agent.Accepted:
+		r.node.fullDelay = 0
 		c.markPresent(r, now)
 		c.poll(r.node)
 	case verdict == agent.Stale:
@@ -124,7 +130,7 @@
 			r.node.noWorkUntil, r.node.suspectUntil = now+unhealthyDelay, now+suspectDuration
 		}
 		if verdict == agent.Full {
-			r.node.pollAnswered = false
+			r.node.recordFull(now)
 		}
 		if r.orderUnanswered {
 			// The worker may still carry out an earlier copy of the order, unless it is
@@ -136,6 +142,18 @@
 	}
 }
 
+// recordFull notes that the worker has too little room for an order. Its runs are then read again, in case
+// that the leader doesn't know all of them. If the worker still lacks the room, its entry claims too much.
+func (n *node) recordFull(now clock.Millis) {
+	if !n.pollAnswered {
+		// The order was sent before an earlier one was rejected.
+		return
+	}
+	n.pollAnswered = false
+	n.noWorkUntil = max(n.noWorkUntil, now+n.fullDelay)
+	n.fullDelay = min(max(2*n.fullDelay, minFullDelay), maxFullDelay)
+}
+
 // markPresent marks a run as present on its worker. The job then counts as running.
 func (c *Controller) markPresent(r *run, now clock.Millis) {
 	r.setState(present, now)
