--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -219,4 +220,26 @@
 		i.setFull("i-0", false)
 		Eventually(func() workflow.State { return i.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Completed))
 	})
+
+	It("does not make a new leader run the task of the worker in whose place it stands beside itself", func() {
+		c := newCluster(2)
+		first := c.startInstance(nil)
+		Eventually(first.isLeader, shortTimeout).Should(BeTrue())
+		first.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		Eventually(c.running, shortTimeout).Should(Equal(1))
+		x := c.workers[slices.IndexFunc(c.workers, func(x *platformtest.Worker) bool { return x.Running() > 0 })]
+		c.putEntry(x.ID(), map[string]any{"address": "127.0.0.1:65536"})
+		second := c.startInstance(nil)
+		first.election.Resign(context.Background())
+		Eventually(second.isLeader, shortTimeout).Should(BeTrue())
+		Consistently(c.overlaps, 2*lease.Duration()).Should(BeEmpty())
+		Eventually(c.running, leaseTimeout).Should(Equal(1))
+		x.Register("ready")
+		time.Sleep(300 * time.Millisecond) // longer than the interval of the watch
+		both := step(2)
+		both.Accels, both.PerWorker = 7, 1
+		second.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{both}})
+		Eventually(func() workflow.State { return second.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
+		Expect(c.overlaps()).To(BeEmpty())
+	})
 })
