--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -92,7 +92,7 @@
 	// ackedEnd that was sent to its process.
 	listsEnds bool
 	ackSent   int
-	runs        map[*run]bool
+	runs      map[*run]bool
 	// unknownRuns are runs that the worker reports but that belong to no current run of a
 	// job. They are being stopped.
 	unknownRuns map[runKey]bool
@@ -104,6 +104,9 @@
 	// the time until which the worker gets no new tasks.
 	suspectUntil clock.Millis
 	noWorkUntil  clock.Millis
+	// fullDelay is how long the worker gets no new tasks if it rejects one more order for lack of
+	// room.
+	fullDelay clock.Millis
 	// speed is the worker's usual speed, without phases in which it was far slower than others.
 	speed speed.Mean
 	// slowUntil is the time until which the worker counts as far slower than others.
@@ -140,6 +143,7 @@
 		stillListed[e.Key[len(c.opts.Prefix):]] = true
 		c.updateNode(e)
 	}
+	c.forgetInvalidEntries(stillListed)
 	for id, n := range c.nodes {
 		if !stillListed[id] {
 			c.markUnlisted(n, c.opts.Clock.Now())
@@ -158,6 +162,7 @@
 	for _, e := range changes {
 		if e.Deleted {
 			id := e.Key[len(c.opts.Prefix):]
+			delete(c.invalidEntries, e.Key)
 			if n := c.nodes[id]; n != nil {
 				c.markUnlisted(n, c.opts.Clock.Now())
 			}
@@ -173,7 +178,7 @@
 func (c *Controller) updateNode(e kv.Entry) {
 	worker, err := c.opts.Decode(e.Key, e.Value)
 	if err != nil {
-		c.opts.Log.WithError(err).Warn("controller: worker entry is invalid; ignoring it")
+		c.logInvalidEntry(e, err)
 		return
 	}
 	n := c.nodeByID(worker.ID)
