soak: close links in an orderly way, and disturb workers

The soak never found two runs of a task at once, since its proxies accept connections while they fail and no worker restarts, drains or has its entry overwritten. A second sequence of faults now runs beside the first one. It ends connections with a FIN and refuses new ones on one, half or all of the links to workers and on an instance's link to the store, and has workers that restart, drain, end and are replaced, answer 504, carry out starts late, or have another entry.

--- a/soak/check.go
+++ b/soak/check.go
@@ -41,7 +41,7 @@
 // history returns the runs that all workers recorded.
 func (r *run) history() []platformtest.Interval {
 	var intervals []platformtest.Interval
-	for _, w := range r.workers {
+	for _, w := range r.allWorkers() {
 		intervals = append(intervals, w.History()...)
 	}
 	return intervals
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -13,11 +14,13 @@
 // report and a function that ends the fault.
 type fault struct {
 	name   string
-	inject func(r *run) (detail string, end func())
+	inject func(r *run, random *rand.Rand) (detail string, end func())
 }
 
 // randomInstance returns an instance chosen by the seed.
-func (r *run) randomInstance() *process { return r.processes[r.random.IntN(len(r.processes))] }
+func (r *run) randomInstance(random *rand.Rand) *process {
+	return r.processes[random.IntN(len(r.processes))]
+}
 
 func (r *run) injectStoreFault(detail string, configure func(*platformtest.Faults)) (string, func()) {
 	r.store.SetFaults(configure)
@@ -33,33 +36,33 @@
 }
 
 var faultKinds = []fault{
-	{"kill", func(r *run) (string, func()) {
-		p := r.randomInstance()
+	{"kill", func(r *run, random *rand.Rand) (string, func()) {
+		p := r.randomInstance(random)
 		p.signal(syscall.SIGKILL)
 		return fmt.Sprint("e", p.index), r.restartFunc(p)
 	}},
-	{"pause", func(r *run) (string, func()) {
-		p := r.randomInstance()
+	{"pause", func(r *run, random *rand.Rand) (string, func()) {
+		p := r.randomInstance(random)
 		p.signal(syscall.SIGSTOP)
 		return fmt.Sprint("e", p.index), p.resume
 	}},
-	{"leave", func(r *run) (string, func()) {
-		p := r.randomInstance()
+	{"leave", func(r *run, random *rand.Rand) (string, func()) {
+		p := r.randomInstance(random)
 		p.signal(syscall.SIGTERM)
 		return fmt.Sprint("e", p.index), r.restartFunc(p)
 	}},
-	{"hangup", func(r *run) (string, func()) {
-		p := r.randomInstance()
+	{"hangup", func(r *run, random *rand.Rand) (string, func()) {
+		p := r.randomInstance(random)
 		p.signal(syscall.SIGHUP)
 		return fmt.Sprint("e", p.index), func() {}
 	}},
-	{"path", func(r *run) (string, func()) {
-		i, m := r.random.IntN(len(r.proxies)), mode(1+r.random.IntN(int(modeCount)-1))
-		r.proxies[i].setMode(m)
-		return fmt.Sprintf("%d mode %d", i, m), func() { r.proxies[i].setMode(modeForward) }
+	{"path", func(r *run, random *rand.Rand) (string, func()) {
+		i, m := random.IntN(len(r.proxies)), mode(1+random.IntN(int(modeCount)-1))
+		r.setMode(r.proxies[i], m)
+		return fmt.Sprintf("%d mode %d", i, m), func() { r.setMode(r.proxies[i], modeForward) }
 	}},
-	{"store", func(r *run) (string, func()) {
-		switch r.random.IntN(6) {
+	{"store", func(r *run, random *rand.Rand) (string, func()) {
+		switch random.IntN(6) {
 		case 0:
 			return r.injectStoreFault("down", func(f *platformtest.Faults) { f.Down = true })
 		case 1:
@@ -74,25 +77,28 @@
 		r.store.Compact()
 		return "compacts its history", func() {}
 	}},
-	{"worker", func(r *run) (string, func()) {
-		w := r.workers[r.random.IntN(len(r.workers))]
-		w.LoseStartAnswers(2)
+	{"worker", func(r *run, random *rand.Rand) (string, func()) {
+		r.randomSlot(random).current().LoseStartAnswers(2)
 		return "drops answers", func() {}
 	}},
 }
 
-// injectFaults starts one random fault after another until ctx ends, so that faults may
+// injectFaults starts one random fault of the kinds after another until ctx ends, so that faults may
 // overlap. At the end of ctx it ends all of them.
-func (r *run) injectFaults(ctx context.Context) {
+func (r *run) injectFaults(ctx context.Context, random *rand.Rand, kinds []fault) {
 	var ends []func()
+	begin := time.Now()
 	for ctx.Err() == nil {
-		f := faultKinds[r.random.IntN(len(faultKinds))]
-		detail, end := f.inject(r)
-		r.report.Faults = append(r.report.Faults, f.name+" "+detail)
+		f := kinds[random.IntN(len(kinds))]
+		at := time.Since(begin)
+		detail, end := f.inject(r, random)
+		r.mu.Lock()
+		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%.1f s %s %s", at.Seconds(), f.name, detail))
+		r.mu.Unlock()
 		ends = append(ends, end)
-		r.sleepUpTo(ctx, 1500*time.Millisecond)
+		sleepUpTo(ctx, random, 1500*time.Millisecond)
 		// Ends faults, the oldest first, each with a probability of 2/3, until one stays.
-		for len(ends) > 0 && r.random.IntN(3) > 0 {
+		for len(ends) > 0 && random.IntN(3) > 0 {
 			ends[0]()
 			ends = ends[1:]
 		}
@@ -103,9 +109,9 @@
 }
 
 // sleepUpTo waits for a random time below limit, or until ctx ends.
-func (r *run) sleepUpTo(ctx context.Context, limit time.Duration) {
+func sleepUpTo(ctx context.Context, random *rand.Rand, limit time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(time.Duration(r.random.Int64N(int64(limit)))):
+	case <-time.After(time.Duration(random.Int64N(int64(limit)))):
 	}
 }
--- a/soak/idle.go
+++ b/soak/idle.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// calmTime is the time without faults after which accepted jobs must not be idle.
+	// calmTime is the time without faults after which accepted jobs must not be idle, with leases
+	// of maxLease.
 	calmTime = 4 * time.Second
 	// maxIdleTime is the promise to callers: for no longer on end has an accepted job nothing
 	// running while a task of it could run.
@@ -44,7 +45,7 @@
 		for _, span := range r.idleSpans(j, moments) {
 			if idle := span.to.Sub(span.from); idle >= maxIdleTime {
 				r.violationf("job %s (%d tasks, gang %t) had nothing running for %d ms, from %d ms after the last fault on, with room for %d tasks and %d of %d accelerators in use",
-					j.id, j.body.Count, j.body.Gang, idle.Milliseconds(), span.from.Sub(r.calmFrom).Milliseconds(), span.room, span.inUse, workerCount*workerAccels)
+					j.id, j.body.Count, j.body.Gang, idle.Milliseconds(), span.from.Sub(r.calmFrom).Milliseconds(), span.room, span.inUse, r.accels())
 			}
 		}
 	}
@@ -52,7 +53,7 @@
 
 // moments divides the time from calmTime after the last fault until the end of the observation.
 func (r *run) moments(intervals []platformtest.Interval) []moment {
-	begin := r.calmFrom.Add(calmTime)
+	begin := r.calmFrom.Add(calmTime + r.longerLease())
 	times := []time.Time{begin, r.observedUntil}
 	for _, interval := range intervals {
 		times = append(times, interval.Started, interval.Ended)
@@ -69,6 +70,9 @@
 	return moments
 }
 
+// accels returns the number of all accelerators.
+func (r *run) accels() int { return len(r.slots) * workerAccels }
+
 func newMoment(from, to time.Time, intervals []platformtest.Interval) moment {
 	m := moment{from: from, to: to, used: make(map[string]int), running: make(map[string]int), done: make(map[string]int)}
 	doneTasks := make(map[string]bool)
@@ -116,15 +120,15 @@
 			missing = 0
 		}
 	}
-	return missing > 0 && r.room(j, m) >= 2*needed && 2*m.inUse < workerCount*workerAccels
+	return missing > 0 && r.room(j, m) >= 2*needed && 2*m.inUse < r.accels()
 }
 
 // room returns the number of a job's tasks that fit on the workers beside the present runs.
 func (r *run) room(j *job, m moment) int {
 	room := 0
-	for i, w := range r.workers {
+	for i, s := range r.slots {
 		if j.body.Label == "" || j.body.Label == rackName(i) {
-			room += max(workerAccels-m.used[w.ID()], 0)
+			room += max(workerAccels-m.used[s.worker.ID()], 0)
 		}
 	}
 	return room
--- a/soak/process.go
+++ b/soak/process.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	settings := platformtest.Instance{
-		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Peers: peerPort, Metrics: metricsPort, Store: storeAddress, Lease: maxLease,
+		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Peers: peerPort, Metrics: metricsPort, Store: storeAddress, Lease: opts.Lease,
 	}
 	return p, settings.Write(p.configPath)
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -21,19 +22,28 @@
 	// modeDropAnswers forwards requests and discards the answers.
 	modeDropAnswers
 	modeCount
+	// modeClose ends all connections in an orderly way, with a FIN in both directions, and refuses
+	// new ones. It stands behind modeCount, so that the faults of earlier seeds stay what they were.
+	modeClose
 )
 
-// slowDelay is the delay of each chunk of data in modeSlow.
-const slowDelay = 120 * time.Millisecond
+const (
+	// slowDelay is the delay of each chunk of data in modeSlow.
+	slowDelay = 120 * time.Millisecond
+	// listenAttempts is the number of attempts to listen again at an address, listenPause apart.
+	listenAttempts = 20
+	listenPause    = 50 * time.Millisecond
+)
 
 // proxy listens on a loopback address and forwards TCP connections to a target address.
 type proxy struct {
+	addr string
+
+	mu       sync.Mutex
 	listener net.Listener
 	target   string
-
-	mu    sync.Mutex
-	mode  mode
-	conns map[net.Conn]bool
+	mode     mode
+	conns    map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -41,21 +51,58 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool)}
-	go p.accept()
+	p := &proxy{addr: listener.Addr().String(), listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.addr }
 
-// setMode changes the mode. With modeReset it closes all open connections.
-func (p *proxy) setMode(m mode) {
+// setTarget changes the address to which new connections are forwarded.
+func (p *proxy) setTarget(target string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.target = target
+}
+
+// setMode changes the mode. With modeReset and modeClose it closes all open connections. After
+// modeClose it listens again at the same address, and fails if that is taken.
+func (p *proxy) setMode(m mode) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mode == m {
+		return nil
+	}
+	wasClosed := p.mode == modeClose
 	p.mode = m
-	if m == modeReset {
+	switch m {
+	case modeReset:
 		p.closeConns()
+	case modeClose:
+		_ = p.listener.Close()
+		for c := range p.conns {
+			_ = c.(*net.TCPConn).CloseWrite()
+		}
+	}
+	if wasClosed {
+		return p.listenAgain()
 	}
+	return nil
+}
+
+// listenAgain replaces the closed listener. The caller holds the lock.
+func (p *proxy) listenAgain() error {
+	var err error
+	for range listenAttempts {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", p.addr); err == nil {
+			p.listener = listener
+			go p.accept(listener)
+			return nil
+		}
+		time.Sleep(listenPause)
+	}
+	return fmt.Errorf("soak: proxy can't listen again: %w", err)
 }
 
 func (p *proxy) currentMode() mode {
@@ -72,15 +119,15 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	_ = p.listener.Close()
 	p.closeConns()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -93,12 +140,21 @@
 }
 
 func (p *proxy) serve(conn net.Conn) {
-	upstream, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	upstream, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
 	p.mu.Lock()
+	if p.mode == modeClose {
+		p.mu.Unlock()
+		_ = conn.Close()
+		_ = upstream.Close()
+		return
+	}
 	p.conns[conn], p.conns[upstream] = true, true
 	p.mu.Unlock()
 	go p.copyData(upstream, conn, false)
@@ -121,9 +177,10 @@
 		switch {
 		case m == modeSlow:
 			time.Sleep(slowDelay)
-		case m == modeBlackhole, m == modeDropAnswers && isAnswer:
+		case m == modeBlackhole, m == modeClose, m == modeDropAnswers && isAnswer:
 			// The connection stays silent after the mode changes, because the data that it
-			// lost can't be restored.
+			// lost can't be restored. In modeClose, data that stays unread would turn the
+			// orderly end into a reset.
 			_, _ = io.Copy(io.Discard, src)
 			return
 		}
--- a/soak/racks.go
+++ b/soak/racks.go
@@ -25,7 +25,7 @@
 	// number of tasks of the gang that waits beside them. The gang fits into no rack then, and
 	// twice over into all of them, while a quarter of the accelerators is in use.
 	heldPerRack, gangWidth = 2, 7
-	// holdTime is the run time of the long tasks: the restart of the leader, calmTime and
+	// holdTime is the run time of the long tasks with leases of maxLease: the restart of the leader, calmTime and
 	// twice maxIdleTime pass in it.
 	holdTime = 16 * time.Second
 	// gangEstimate is the declared run time of the gang's tasks.
@@ -57,13 +57,13 @@
 	var calls sync.WaitGroup
 	for number := firstRackJob; ctx.Err() == nil; number++ {
 		runTime := time.Duration(2000+random.IntN(3000)) * time.Millisecond
-		body := longTasks(1, rackName(random.IntN(workerCount)), runTime)
+		body := longTasks(1, rackName(random.IntN(len(r.slots))), runTime)
 		if number%2 == 1 {
 			body = rackGang(2+random.IntN(gangWidth-1), runTime, runTime)
 		}
 		j, firstInstance := r.newJob(number, rackQueue, body), random.IntN(len(r.processes))
 		calls.Go(func() { r.submitJob(j, firstInstance, false) })
-		time.Sleep(rackJobInterval)
+		time.Sleep(rackJobInterval / time.Duration(r.opts.Scale))
 	}
 	calls.Wait()
 }
@@ -76,15 +76,15 @@
 			r.violationf("after the faults: %v", err)
 		}
 	}
-	for i := range workerCount {
-		r.submitJob(r.newJob(firstHolder+i, rackQueue, longTasks(heldPerRack, rackName(i), holdTime)), i%len(r.processes), false)
+	for i := range r.slots {
+		r.submitJob(r.newJob(firstHolder+i, rackQueue, longTasks(heldPerRack, rackName(i), holdTime+r.longerLease())), i%len(r.processes), false)
 	}
-	held := func() bool { return r.runningHolders() == workerCount*heldPerRack }
+	held := func() bool { return r.runningHolders() == len(r.slots)*heldPerRack }
 	for deadline := time.Now().Add(settledTimeout); time.Now().Before(deadline) && !held(); {
 		time.Sleep(50 * time.Millisecond)
 	}
 	racksHeld := held()
-	gang := r.newJob(firstHolder+workerCount, rackQueue, rackGang(gangWidth, 500*time.Millisecond, gangEstimate))
+	gang := r.newJob(firstHolder+len(r.slots), rackQueue, rackGang(gangWidth, 500*time.Millisecond, gangEstimate))
 	r.submitJob(gang, r.random.IntN(len(r.processes)), false)
 	time.Sleep(time.Second)
 	restarted := r.restartLeader()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -11,17 +11,21 @@
 // The faults are:
 //   - instances that are killed, suspended and resumed, shut down and started again, or
 //     sent a SIGHUP;
-//   - connections to the store and to workers that are delayed, reset, or silent in one or
-//     both directions;
+//   - connections to the store and to workers that are delayed, reset, silent in one or both
+//     directions, or ended in an orderly way with new ones refused, one or many at once;
 //   - a store that is down, is slow, drops answers to writes, applies writes late, compacts
 //     its history, or reports no changes to watches;
-//   - workers that drop the answers to start requests.
+//   - workers that drop the answers to start requests, answer them with the status of a proxy or
+//     carry them out late, that restart, drain, end and are replaced, and whose entries in the
+//     store are overwritten by another writer.
 //
-// Faults start one after another and may overlap. After the last one, a gang that wants one rack
+// Two sequences of faults run beside each other, one of them with the faults of workers and their
+// links. In each, faults start one after another and may overlap. After the last one, a gang that wants one rack
 // waits while long tasks hold a part of each rack, and the leader is restarted once.
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -39,9 +43,10 @@
 	workerCount = 4
 	// workerAccels is the number of accelerators of a worker.
 	workerAccels = 8
-	// maxLease is the longest lease that a worker grants.
+	// maxLease is the longest lease that a worker grants, unless Options.Lease replaces it.
 	maxLease = 2 * time.Second
-	// settleTimeout is the time after the last fault within which every accepted job has to end.
+	// settleTimeout is the time after the last fault within which every accepted job has to end,
+	// with leases of maxLease.
 	settleTimeout = 25 * time.Second
 	// callTimeout is the timeout of one call to an instance.
 	callTimeout = 3 * time.Second
@@ -58,6 +63,13 @@
 	Duration time.Duration
 	// Dir is the directory for the settings files and the logs.
 	Dir string
+	// Lease is the longest lease that a worker grants; 0 means 2 s.
+	Lease time.Duration
+	// Scale multiplies the numbers of instances, workers and jobs; 0 means 1.
+	Scale int
+	// Only is the name of the one kind of faults of workers and links to inject; "" means all.
+	// The other sequence of faults stays as it is.
+	Only string
 }
 
 // Report is the result of a soak run.
@@ -101,20 +113,25 @@
 	random    *rand.Rand
 	store     *platformtest.Store
 	caller    *platformtest.Caller
-	workers   []*platformtest.Worker
+	slots     []*slot
 	proxies   []*proxy
 	processes []*process
 	// calmFrom is when the last fault ended, and observedUntil when the last state was asked for.
 	calmFrom, observedUntil time.Time
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// ended holds the workers that have been replaced.
+	ended  []*platformtest.Worker
 	jobs   []*job
 	report Report
+	// setupErr is the first failure of the soak's own means.
+	setupErr error
 }
 
 // Run executes one soak run with the seed in opts. The error is that of a failed setup;
 // broken promises are in the report.
 func Run(opts Options) (Report, error) {
+	opts.Lease, opts.Scale = cmp.Or(opts.Lease, maxLease), cmp.Or(opts.Scale, 1)
 	r := &run{
 		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 0)), store: platformtest.NewStore(),
 		caller: platformtest.NewCaller(callTimeout),
@@ -128,9 +145,13 @@
 	var submitter sync.WaitGroup
 	submitter.Go(func() { r.submitJobs(ctx) })
 	submitter.Go(func() { r.submitRackJobs(ctx) })
-	r.injectFaults(ctx)
+	submitter.Go(func() { r.injectFaults(ctx, rand.New(rand.NewPCG(r.opts.Seed, 3)), r.opts.workerKinds()) })
+	r.injectFaults(ctx, r.random, faultKinds)
 	submitter.Wait()
 	r.clearFaults()
+	if r.setupErr != nil {
+		return r.report, r.setupErr
+	}
 	r.submitGangBesideLongTasks()
 	r.awaitJobs()
 	r.checkPromises()
@@ -142,26 +163,17 @@
 		platformtest.Queue{Name: "urgent", Priority: 0, Attempts: 3},
 		platformtest.Queue{Name: "batch", Priority: 2, Attempts: 3},
 		platformtest.Queue{Name: rackQueue, Priority: 2, Attempts: 3}))
-	for i := range workerCount {
-		var failed error
-		w := platformtest.NewWorker(platformtest.WorkerOptions{
-			Store: r.store, ID: fmt.Sprintf("i-%d", i), Rack: rackName(i), Lease: maxLease, GPU: workerAccels,
-			Address: func(own string) string {
-				p, err := newProxy(own)
-				if err != nil {
-					failed = err
-					return own
-				}
-				r.proxies = append(r.proxies, p)
-				return p.address()
-			},
-		})
-		r.workers = append(r.workers, w)
-		if failed != nil {
-			return failed
+	for i := range workerCount * r.opts.Scale {
+		p, err := newProxy("")
+		if err != nil {
+			return err
 		}
+		r.proxies = append(r.proxies, p)
+		s := &slot{run: r, index: i, proxy: p}
+		s.worker = s.newWorker(fmt.Sprintf("i-%d", i))
+		r.slots = append(r.slots, s)
 	}
-	for i := range instanceCount {
+	for i := range instanceCount * r.opts.Scale {
 		// Each instance reaches the store through a proxy of its own.
 		storeProxy, err := newProxy(r.store.Address())
 		if err != nil {
@@ -189,7 +201,7 @@
 	for _, p := range r.proxies {
 		p.close()
 	}
-	for _, w := range r.workers {
+	for _, w := range r.allWorkers() {
 		w.Close()
 	}
 	r.store.Close()
@@ -205,7 +217,7 @@
 		})
 		cancelWhenAccepted, firstInstance := random.IntN(8) == 0, random.IntN(len(r.processes))
 		calls.Go(func() { r.submitJob(j, firstInstance, cancelWhenAccepted) })
-		time.Sleep(jobInterval)
+		time.Sleep(jobInterval / time.Duration(r.opts.Scale))
 	}
 	calls.Wait()
 }
@@ -261,7 +273,10 @@
 func (r *run) clearFaults() {
 	r.store.SetFaults(func(f *platformtest.Faults) { *f = platformtest.Faults{} })
 	for _, p := range r.proxies {
-		p.setMode(modeForward)
+		r.setMode(p, modeForward)
+	}
+	for _, s := range r.slots {
+		s.clearFaults()
 	}
 	for _, p := range r.processes {
 		p.resume()
@@ -278,7 +293,7 @@
 // awaitJobs queries the states of the accepted jobs until all have ended or settleTimeout
 // has passed.
 func (r *run) awaitJobs() {
-	for deadline := time.Now().Add(settleTimeout); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+	for deadline := time.Now().Add(settleTimeout + r.longerLease()); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
 		unfinished := 0
 		for _, j := range r.jobs {
 			if !j.accepted || j.ended() {
@@ -297,7 +312,12 @@
 	}
 }
 
+// longerLease returns the time by which leases are longer than maxLease.
+func (r *run) longerLease() time.Duration { return r.opts.Lease - maxLease }
+
 func (r *run) violationf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.report.Violations = append(r.report.Violations, fmt.Sprintf(format, args...))
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,6 +43,29 @@
 	return list
 }
 
+// number returns the value of an environment variable, or 0 if it is not set.
+func number(name string) int {
+	GinkgoHelper()
+	text := os.Getenv(name)
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(text)
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+// options returns the options for a seed. Some environment variables change them for trials by hand:
+// CHESTNUTSAIL_SOAK_LEASE, in seconds, CHESTNUTSAIL_SOAK_SCALE and CHESTNUTSAIL_SOAK_ONLY.
+func options(program, dir string, seed uint64) soak.Options {
+	GinkgoHelper()
+	return soak.Options{
+		Program: program, Seed: seed, Duration: 8 * time.Second, Dir: dir,
+		Lease: time.Duration(number("CHESTNUTSAIL_SOAK_LEASE")) * time.Second,
+		Scale: number("CHESTNUTSAIL_SOAK_SCALE"), Only: os.Getenv("CHESTNUTSAIL_SOAK_ONLY"),
+	}
+}
+
 // play runs the soak with seeds and returns the number of seeds in which long tasks held a part of
 // each rack.
 func play(seeds ...uint64) int {
@@ -56,7 +79,7 @@
 	Expect(err).NotTo(HaveOccurred(), string(out))
 	racksHeld := 0
 	for _, seed := range seeds {
-		report, err := soak.Run(soak.Options{Program: program, Seed: seed, Duration: 8 * time.Second, Dir: dir})
+		report, err := soak.Run(options(program, dir, seed))
 		Expect(err).NotTo(HaveOccurred())
 		GinkgoWriter.Println("seed", seed, report)
 		Expect(report.Violations).To(BeEmpty(), "seed %d, faults %v", seed, report.Faults)
