--- a/soak/check.go
+++ b/soak/check.go
@@ -61,15 +61,25 @@
 	for i, later := range intervals {
 		for _, earlier := range intervals[:i] {
 			if earlier.Ended.IsZero() || earlier.Ended.After(later.Started) {
-				r.violationf("task %s had two runs at the same time: run %d on %s and run %d on %s", task, earlier.Run, earlier.Worker, later.Run, later.Worker)
+				r.violationf("task %s had two runs at the same time: %s and %s", task, describe(earlier), describe(later))
 			}
 			if earlier.Outcome == "done" && !earlier.Acknowledged.IsZero() {
-				r.violationf("task %s was started again as run %d on %s after run %d was done on %s", task, later.Run, later.Worker, earlier.Run, earlier.Worker)
+				r.violationf("task %s was started again as %s after %s", task, describe(later), describe(earlier))
 			}
 		}
 	}
 }
 
+// describe returns the worker, times and end of a run.
+func describe(i platformtest.Interval) string {
+	const layout = "15:04:05.000"
+	ended := "present"
+	if !i.Ended.IsZero() {
+		ended = i.Ended.UTC().Format(layout) + " " + i.Outcome
+	}
+	return fmt.Sprintf("run %d on %s (%s to %s)", i.Run, i.Worker, i.Started.UTC().Format(layout), ended)
+}
+
 func (r *run) checkJob(j *job, started bool, byTask map[string][]platformtest.Interval) {
 	switch {
 	case !j.accepted && !j.ambiguous && started:
