soak: keep the ports of instances and proxies for them

The log of the instance has 'bind: address already in use' at each start and nothing else: the soak had found a free port and closed it, and something else took it. It now keeps a bound socket that does not listen, beside which the instance can listen.

--- a/soak/process.go
+++ b/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 	callerAddress string
 	readyAddress  string
 	configPath    string
+	ports         []*reservation
 
 	mu          sync.Mutex
 	cmd         *exec.Cmd
@@ -29,36 +29,23 @@
 	terminating bool
 }
 
-func freeAddress() (string, int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", 0, err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), l.Addr().(*net.TCPAddr).Port, nil
-}
-
 func newProcess(opts Options, index int, storeAddress string) (*process, error) {
 	if err := opts.makeLogDir(); err != nil {
 		return nil, err
 	}
 	p := &process{opts: opts, index: index, configPath: filepath.Join(opts.logDir(), fmt.Sprintf("e%d.toml", index))}
-	var err error
-	var peerPort, metricsPort int
-	if p.callerAddress, _, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	if p.readyAddress, _, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	if _, peerPort, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	if _, metricsPort, err = freeAddress(); err != nil {
-		return nil, err
+	// One port each for callers, the health check, peers and metrics.
+	for range 4 {
+		port, err := reserve()
+		if err != nil {
+			p.releasePorts()
+			return nil, err
+		}
+		p.ports = append(p.ports, port)
 	}
+	p.callerAddress, p.readyAddress = p.ports[0].address(), p.ports[1].address()
 	settings := platformtest.Instance{
-		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Peers: peerPort, Metrics: metricsPort, Store: storeAddress, Lease: opts.Lease,
+		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Peers: p.ports[2].port, Metrics: p.ports[3].port, Store: storeAddress, Lease: opts.Lease,
 	}
 	return p, settings.Write(p.configPath)
 }
@@ -136,6 +123,13 @@
 	}
 }
 
+// releasePorts frees the ports of the process.
+func (p *process) releasePorts() {
+	for _, port := range p.ports {
+		port.release()
+	}
+}
+
 func (p *process) awaitReady(timeout time.Duration) error {
 	client := http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -37,7 +37,7 @@
 
 // proxy listens on a loopback address and forwards TCP connections to a target address.
 type proxy struct {
-	addr string
+	port *reservation
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -47,16 +47,19 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := reserve()
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{addr: listener.Addr().String(), listener: listener, target: target, conns: make(map[net.Conn]bool)}
-	go p.accept(listener)
+	p := &proxy{port: port, target: target, conns: make(map[net.Conn]bool)}
+	if err := p.listen(); err != nil {
+		port.release()
+		return nil, err
+	}
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.addr }
+func (p *proxy) address() string { return p.port.address() }
 
 // setTarget changes the address to which new connections are forwarded.
 func (p *proxy) setTarget(target string) {
@@ -85,24 +88,24 @@
 		}
 	}
 	if wasClosed {
-		return p.listenAgain()
+		return p.listen()
 	}
 	return nil
 }
 
-// listenAgain replaces the closed listener. The caller holds the lock.
-func (p *proxy) listenAgain() error {
+// listen starts a listener. The caller holds the lock.
+func (p *proxy) listen() error {
 	var err error
 	for range listenAttempts {
 		var listener net.Listener
-		if listener, err = net.Listen("tcp", p.addr); err == nil {
+		if listener, err = net.Listen("tcp", p.address()); err == nil {
 			p.listener = listener
 			go p.accept(listener)
 			return nil
 		}
 		time.Sleep(listenPause)
 	}
-	return fmt.Errorf("soak: proxy can't listen again: %w", err)
+	return fmt.Errorf("soak: proxy can't listen: %w", err)
 }
 
 func (p *proxy) currentMode() mode {
@@ -122,6 +125,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.listener.Close()
+	p.port.release()
 	p.closeConns()
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -197,6 +197,7 @@
 func (r *run) close() {
 	for _, p := range r.processes {
 		p.kill()
+		p.releasePorts()
 	}
 	for _, p := range r.proxies {
 		p.close()
