board: keep progress that is newer than a list

A mirror's list that was begun before the last writes of an earlier leader replaced the newer progress that a new leader had just read, and a job accepted after that list was gone from the board. A leader that takes its jobs from the board at that moment would not know some placements, stop their runs as unknown and place the tasks elsewhere; that part is by reading. A list no longer replaces newer progress, and a leader tracks all jobs that it has read itself.

Evidence: the spec 'keeps progress that is newer than a list' failed before and passes.

--- a/board/board.go
+++ b/board/board.go
@@ -143,8 +143,8 @@
 	b.watchers = append(b.watchers, f)
 }
 
-// Replace replaces all views by the given complete list of entries under Prefix. It reports
-// whether there is a leader.
+// Replace replaces all views by the given complete list of entries under Prefix, except for progress
+// that is newer than the list. It reports whether there is a leader.
 func (b *Board) Replace(entries []kv.Entry) (hasLeader bool) {
 	b.mu.Lock()
 	previousJobs := b.jobs
@@ -160,6 +160,10 @@
 	}
 	for id, v := range b.jobs {
 		previous := previousJobs[id]
+		if previous != nil && previous.Version > v.Version {
+			// The list was begun before this progress was written or read.
+			v.Progress, v.Version = previous.Progress, previous.Version
+		}
 		if previous == nil || previous.Record == nil || previous.Cancelled != v.Cancelled {
 			updates = append(updates, b.withHeld(v))
 		}
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -72,6 +72,15 @@
 		Expect(v.Held).To(BeNil())
 	})
 
+	It("keeps progress that is newer than a list that was begun before it", func() {
+		b := board.New(nil)
+		b.Add(record("a", "q"), progress("a", 6, workflow.Completed))
+		b.Replace([]kv.Entry{record("a", "q"), progress("a", 2, workflow.Running)})
+		v, _ := b.Find("a")
+		Expect(v.Version).To(Equal(uint64(6)))
+		Expect(v.State()).To(Equal(workflow.Completed))
+	})
+
 	It("does not know a job without its record", func() {
 		b := board.New(nil)
 		b.Add(progress("a", 2, workflow.Running))
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -332,6 +332,12 @@
 	for _, v := range c.opts.Board.All() {
 		c.trackJob(v)
 	}
+	// An older list may have taken jobs from the board meanwhile.
+	listed := board.New(nil)
+	listed.Add(entries...)
+	for _, v := range listed.All() {
+		c.trackJob(v)
+	}
 	c.jobsLoaded = true
 	c.opts.Log.WithFields(logrus.Fields{
 		"term": c.term, "jobs": len(c.jobs), "took_ms": int64(c.opts.Clock.Now() - c.leadingSince),
