gang: wait for the process that holds a member, not for another one under its name

A gang's member was given up while it ran, when its worker was cut off and another process answered under the worker's name: the attempt ended as lost and was placed again, two runs at once. For a gang of another scheduler the refusal Replaced ended the wait at once. For the scheduler's own gang it was worse: its stop named no incarnation, so the other process took it, recorded the attempt as stopped, and the gang counted as stopped on every worker.

Stops now name the process that gave the reservation, and Replaced counts as no answer: the stop is repeated until that process answers or the member's lease must have ended. A refusal as Fenced comes only from that process now, since an agent compares the incarnation first.

Decided: an answer of another incarnation is no evidence of a restart. The entry of a worker in the list can lapse or be written over while the worker runs on (instances takes a new address for the same name as it comes), and addresses are given out again, so the name can be at two places. See docs/design/gangs.md.

The fixture guards its agents with a mutex, since a spec now changes them during a stop; no existing spec changed.

Price: a gang that loses a worker by a real restart is placed again one lease and one call after the stop began (41 s by default), not at once; work that may not run twice waits for unreachable entries too.

--- a/gang/adopt_test.go
+++ b/gang/adopt_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"strings"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -21,8 +22,10 @@
 // fixture holds two workers and the gang's record as its first scheduler has written it.
 type fixture struct {
 	workers [2]*workertest.Server
-	agents  map[string]gang.Agent
 	record  job.Record
+
+	mu     sync.Mutex
+	agents map[string]gang.Agent
 }
 
 func newFixture() *fixture {
@@ -42,13 +45,25 @@
 	s.workers[i] = workertest.New(workertest.Options{Name: name, Capacity: job.Resources{Accelerators: 8}})
 	srv := httptest.NewServer(s.workers[i])
 	DeferCleanup(srv.Close)
-	s.agents[name] = worker.New(worker.Config{Address: strings.TrimPrefix(srv.URL, "http://")})
+	s.setAgent(name, worker.New(worker.Config{Address: strings.TrimPrefix(srv.URL, "http://")}))
+}
+
+func (s *fixture) agent(name string) gang.Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.agents[name]
+}
+
+func (s *fixture) setAgent(name string, a gang.Agent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agents[name] = a
 }
 
 func (s *fixture) gang(term int64, foreign bool, commit func(context.Context, []job.Member) error) *gang.Gang {
 	return gang.New(gang.Options{
 		Record: s.record, Term: term, Foreign: foreign, Times: times, Commit: commit,
-		Agent: func(name string) gang.Agent { return s.agents[name] },
+		Agent: s.agent,
 	})
 }
 
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -128,10 +128,12 @@
 	// operation is held while Start, Adopt or Stop runs.
 	operation sync.Mutex
 
-	mu        sync.Mutex
-	tasks     []worker.Task
-	committed bool
-	lifted    bool
+	mu    sync.Mutex
+	tasks []worker.Task
+	// incarnations maps the name of a member's worker to the process that holds the member.
+	incarnations map[string]string
+	committed    bool
+	lifted       bool
 	// renewable is set when other instances may be renewing a member.
 	renewable bool
 }
@@ -153,8 +155,12 @@
 	}
 	r := opts.Record
 	opts.Log = opts.Log.WithFields(logrus.Fields{"job": r.Spec.ID(), "attempt": r.Attempt})
+	incarnations := make(map[string]string)
+	for _, m := range r.Members {
+		incarnations[m.Worker] = m.Incarnation
+	}
 	return &Gang{
-		opts: opts, haltRequested: make(chan struct{}), tasks: make([]worker.Task, len(r.Members)),
+		opts: opts, incarnations: incarnations, haltRequested: make(chan struct{}), tasks: make([]worker.Task, len(r.Members)),
 		state: fsm.NewFSM(stateIdle, fsm.Events{
 			{Name: reserve, Src: []string{stateIdle}, Dst: stateReserving},
 			{Name: commit, Src: []string{stateReserving}, Dst: stateCommitting},
@@ -208,6 +214,7 @@
 	if name, err := g.forEachMember(ctx, g.reserve); err != nil {
 		return g.abortStart(ctx, name, err)
 	}
+	g.recordIncarnations()
 	g.transition(commit)
 	if err := g.mayContinue(reservedAt, g.opts.Times.Reservation); err != nil {
 		return g.abortStart(ctx, "", err)
@@ -222,18 +229,33 @@
 	return g.launch(ctx)
 }
 
+// recordIncarnations records which processes hold the reservations.
+func (g *Gang) recordIncarnations() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, m := range g.opts.Record.Members {
+		g.incarnations[m.Worker] = g.tasks[i].Incarnation
+	}
+}
+
 // placement returns the members with the incarnations of the worker processes that hold
 // them.
 func (g *Gang) placement() []job.Member {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	members := slices.Clone(g.opts.Record.Members)
-	for i := range members {
-		members[i].Incarnation = g.tasks[i].Incarnation
+	for i, m := range members {
+		members[i].Incarnation = g.incarnation(m.Worker)
 	}
 	return members
 }
 
+// incarnation returns the incarnation of the process that holds the member on a worker, or ""
+// when it is not known.
+func (g *Gang) incarnation(name string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.incarnations[name]
+}
+
 // launch starts the members throttled, lifts the throttles, and confirms to each member
 // that the whole gang runs.
 func (g *Gang) launch(ctx context.Context) Result {
@@ -305,9 +327,9 @@
 
 // Stop stops every member, which has grace milliseconds to write a checkpoint. The result is
 // Finished when all members had finished, Broken when a member had failed, Stopped when all
-// members confirmed the stop, and Lost when a member did not: it did not answer for as long
-// as it may still run, a newer scheduler, attempt or worker process has replaced it, or ctx
-// ended.
+// members confirmed the stop, and Lost when a member did not: the process that holds it did
+// not answer for as long as it may still run, a newer scheduler or attempt has replaced it, or
+// ctx ended.
 func (g *Gang) Stop(ctx context.Context, grace clock.Millis) Result {
 	g.Halt()
 	g.operation.Lock()
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -23,7 +23,7 @@
 	unanswered := make([]bool, len(g.opts.Record.Members))
 	acknowledged := g.broadcast(ctx, grace)
 	var wg sync.WaitGroup
-	for i, m := range g.opts.Record.Members {
+	for i, m := range g.placement() {
 		wg.Go(func() {
 			t, ok := g.stopMember(ctx, m, grace, acknowledged)
 			unanswered[i] = !ok
@@ -68,8 +68,8 @@
 	return sync.OnceValue(func() bool { return <-acknowledged })
 }
 
-// stopMember retries the stop of one member until the member answers or its lease must have
-// ended. It returns false when the member did not confirm the stop.
+// stopMember retries the stop of one member until the process that holds it answers or its
+// lease must have ended. It returns false when the member did not confirm the stop.
 func (g *Gang) stopMember(ctx context.Context, m job.Member, grace clock.Millis, acknowledged func() bool) (worker.Task, bool) {
 	firstCall := g.opts.Clock.Now()
 	for ctx.Err() == nil {
@@ -78,10 +78,10 @@
 			if err == nil {
 				return t, true
 			}
-			switch worker.RefusalOf(err) {
-			case worker.Fenced, worker.Replaced:
-				// A newer scheduler or attempt has taken over the member, or the worker process
-				// was replaced.
+			// Replaced does not end the wait: that another process answers under the worker's
+			// name does not show that the one that holds the member has ended.
+			if worker.RefusalOf(err) == worker.Fenced {
+				// A newer scheduler or attempt has taken over the member.
 				return worker.Task{State: worker.LeaseExpired}, false
 			}
 		}
