gang: don't report a member as lost because another process doesn't know it

Check reported a gang as lost while all its members ran, when another process answered under the name of a worker that was cut off: the call Task names no process, so the refusal Absent of any process counted as LeaseExpired, and so did a stop that only the other process had recorded.

A refusal as Absent, another attempt or an answer of another incarnation is now confirmed by a fence, which names the process that holds the member and stops nothing; agents have it already, so the protocol is as it was. If that process doesn't answer, the member can't be queried: Check returns no kind and the refusal Replaced. An adoption then stops the gang's other members at once, as before, and waits for the cut member as for one that doesn't answer. The calls Start and Lift name the process as well.

Price: one more call for a member that its worker doesn't know. Results that can't be read because another process answers are waited for one lease before the gang counts as lost, as with a silent worker.

--- a/gang/adopt_test.go
+++ b/gang/adopt_test.go
@@ -23,13 +23,14 @@
 type fixture struct {
 	workers [2]*workertest.Server
 	record  job.Record
+	times   gang.Times
 
 	mu     sync.Mutex
 	agents map[string]gang.Agent
 }
 
 func newFixture() *fixture {
-	s := &fixture{agents: make(map[string]gang.Agent), record: job.Record{
+	s := &fixture{agents: make(map[string]gang.Agent), times: times, record: job.Record{
 		Spec:    job.Spec{Account: "kulhar", Key: "j", Shape: job.Shape{Tasks: 2, Accelerators: 8}, Payload: []byte(`{"sleep_ms":60000}`)},
 		Attempt: 1, Members: []job.Member{{Worker: "a-0", Tasks: 1}, {Worker: "a-1", Tasks: 1}},
 	}}
@@ -62,7 +63,7 @@
 
 func (s *fixture) gang(term int64, foreign bool, commit func(context.Context, []job.Member) error) *gang.Gang {
 	return gang.New(gang.Options{
-		Record: s.record, Term: term, Foreign: foreign, Times: times, Commit: commit,
+		Record: s.record, Term: term, Foreign: foreign, Times: s.times, Commit: commit,
 		Agent: s.agent,
 	})
 }
--- a/gang/calls.go
+++ b/gang/calls.go
@@ -47,7 +47,7 @@
 	r := g.opts.Record
 	return worker.Task{
 		ID: r.Spec.ID(), Attempt: r.Attempt, Term: g.opts.Term,
-		Tasks: m.Tasks, Needs: r.Spec.Shape.Resources(m.Tasks),
+		Tasks: m.Tasks, Needs: r.Spec.Shape.Resources(m.Tasks), Incarnation: g.incarnation(m.Worker),
 	}
 }
 
@@ -78,6 +78,34 @@
 	return orCompleted(ctx, a, t, out, err)
 }
 
+// query returns the state of a member. The state is LeaseExpired when the process that holds
+// the member no longer has it. The error contains the refusal Replaced when another process
+// answers.
+func (g *Gang) query(ctx context.Context, a Agent, t worker.Task) (worker.Task, error) {
+	current, err := a.Task(ctx, t.ID)
+	absent := worker.RefusalOf(err) == worker.Absent
+	if err != nil && !absent {
+		return current, err
+	}
+	holds := !absent && current.Attempt == t.Attempt
+	if t.Incarnation == "" || (holds && current.Incarnation == t.Incarnation) {
+		return orLapsed(t, current, holds), nil
+	}
+	// A call of Task does not say which process it is meant for. The fence does, and it stops
+	// nothing: the process that holds the member has seen the attempt.
+	current, err = a.Stop(ctx, worker.Stop{ID: t.ID, Attempt: t.Attempt, Term: t.Term, FenceOnly: true, Incarnation: t.Incarnation})
+	return orLapsed(t, current, current.Attempt == t.Attempt), err
+}
+
+// orLapsed returns the task current of a worker that holds the member t, and t as
+// LeaseExpired when the worker no longer holds it.
+func orLapsed(t, current worker.Task, holds bool) worker.Task {
+	if holds {
+		return current
+	}
+	return worker.Task{ID: t.ID, Attempt: t.Attempt, State: worker.LeaseExpired}
+}
+
 // orCompleted handles a call that the agent refused because it does not hold the task. If
 // the task has ended by itself, orCompleted returns the ended task and no error;
 // otherwise it returns out and err unchanged.
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -156,16 +156,11 @@
 
 // Check queries the state of every member. The result is Finished when all members have
 // finished, Broken when a member has failed, Lost when a member was stopped or no longer
-// exists, and Started otherwise. When a member cannot be queried, the kind is empty and
-// Result.Err is set. Check stops nothing.
+// exists, and Started otherwise. When a member cannot be queried, because its worker does not
+// answer or another process answers, the kind is empty and Result.Err is set. Check stops
+// nothing.
 func (g *Gang) Check(ctx context.Context) Result {
-	name, err := g.forEachMember(ctx, func(ctx context.Context, a Agent, t worker.Task) (worker.Task, error) {
-		current, err := a.Task(ctx, t.ID)
-		if worker.RefusalOf(err) == worker.Absent || (err == nil && current.Attempt != t.Attempt) {
-			return worker.Task{ID: t.ID, Attempt: t.Attempt, State: worker.LeaseExpired}, nil
-		}
-		return current, err
-	})
+	name, err := g.forEachMember(ctx, g.query)
 	if err != nil {
 		return g.result("", name, err)
 	}
@@ -225,13 +220,16 @@
 	return g.result(scheduler.Started, "", nil)
 }
 
-// checkUntilAnswered repeats Check until all members have answered, the lease of a member
-// that does not answer must have ended, or a stop was requested.
+// checkUntilAnswered repeats Check until all members have answered, another process answers
+// for a member, the lease of a member that does not answer must have ended, or a stop was
+// requested.
 func (g *Gang) checkUntilAnswered(ctx context.Context) Result {
 	deadline := g.opts.Clock.Now() + g.opts.Times.Lease
 	for {
 		r := g.Check(ctx)
-		if r.Err == nil || g.stopRequested() || g.opts.Clock.Now() >= deadline {
+		// While another process answers for a member, the others must not run on without it.
+		replaced := worker.RefusalOf(r.Err) == worker.Replaced
+		if r.Err == nil || replaced || g.stopRequested() || g.opts.Clock.Now() >= deadline {
 			// A member that never answered may have run.
 			g.locked(func() { g.lifted = g.lifted || r.Err != nil })
 			return r
