gang: wait for a member's lease by the slowest clock

A member on a worker that is cut off was given up after its lease and one call by the scheduler's clock. A worker's clock may run 2 % slow, 0.8 s in a lease of 40 s, and only the allowance for a call in flight (1 s by default) hid that; with a short call timeout the member ran on after the gang's result was lost.

The wait now has the allowances of the package controller, 3 % of the lease and 0.3 s, beside the call.

Price: a gang with a member that doesn't answer is placed again 1.5 s later by default.

--- a/gang/stop.go
+++ b/gang/stop.go
@@ -102,9 +102,9 @@
 
 // maxRemainingLease returns how long after the first call, in milliseconds, a member that
 // does not answer may still run. Before the first lift that is 0. After it, and for every
-// gang that another scheduler has recorded, it is the longest lease that the member can have
-// plus, for a job that is not idempotent, the time for which an instance that did not
-// acknowledge the broadcast may keep renewing it.
+// gang that another scheduler has recorded, it is the longest lease that the member can have,
+// by the slowest clock, plus, for a job that is not idempotent, the time for which an instance
+// that did not acknowledge the broadcast may keep renewing it.
 func (g *Gang) maxRemainingLease(acknowledged func() bool) clock.Millis {
 	g.mu.Lock()
 	lifted := g.lifted || g.opts.Foreign
@@ -112,7 +112,7 @@
 	if !lifted {
 		return 0
 	}
-	span := g.opts.Times.Lease + g.opts.Times.CallTimeout
+	span := g.opts.Times.lapse() + g.opts.Times.CallTimeout
 	if !g.opts.Record.Spec.Idempotent && !acknowledged() {
 		span += g.opts.OrphanTimeout
 	}
--- a/gang/times.go
+++ b/gang/times.go
@@ -23,6 +23,20 @@
 	DefaultCallTimeout = clock.Second
 )
 
+const (
+	// maxClockLag is the fraction by which a worker's clock may run slow. The workers'
+	// protocol allows 2 %; the rest is a safety margin.
+	maxClockLag = 0.03
+	// leaseExpiryMargin is the time after the end of a lease at which the lease counts as
+	// expired.
+	leaseExpiryMargin = 300 * clock.Millisecond
+)
+
+// lapse returns the time in milliseconds after which Lease has ended by the slowest clock.
+func (t Times) lapse() clock.Millis {
+	return clock.Millis(float64(t.Lease)*(1+maxClockLag)) + leaseExpiryMargin
+}
+
 // WithDefaults returns t with the fields that are 0 set to their defaults.
 func (t Times) WithDefaults() Times {
 	fill := func(v *clock.Millis, d clock.Millis) {
