gang: count a member's lease from the end of the broadcast of its stop

The wait for a member that doesn't answer its scheduler began with the first call of the stop. Another instance that reaches the worker renews the lease until it has the broadcast, up to 2 s later, and work that is idempotent didn't wait for the broadcast at all. So the gang was lost while the member ran.

The lease now counts from the end of the broadcast, for all work.

With the default times the allowances of 2.5 s hide all but a small part of it; that part was not shown.

Price: up to 2 s more for a member that doesn't answer, if an instance doesn't either.

--- a/gang/stop.go
+++ b/gang/stop.go
@@ -21,11 +21,11 @@
 		g.transition(stop)
 	}
 	unanswered := make([]bool, len(g.opts.Record.Members))
-	acknowledged := g.broadcast(ctx, grace)
+	told := g.broadcast(ctx, grace)
 	var wg sync.WaitGroup
 	for i, m := range g.placement() {
 		wg.Go(func() {
-			t, ok := g.stopMember(ctx, m, grace, acknowledged)
+			t, ok := g.stopMember(ctx, m, grace, told)
 			unanswered[i] = !ok
 			if ok {
 				g.locked(func() {
@@ -55,23 +55,33 @@
 }
 
 // broadcast asks the instances that may be renewing a member's lease to stop it. The returned
-// function waits for the calls to end and reports whether all instances acknowledged.
-func (g *Gang) broadcast(ctx context.Context, grace clock.Millis) func() bool {
+// function waits for the calls to end and returns when they ended, and whether all instances
+// acknowledged.
+func (g *Gang) broadcast(ctx context.Context, grace clock.Millis) func() (clock.Millis, bool) {
 	g.mu.Lock()
 	renewable := g.renewable
 	g.mu.Unlock()
+	calledAt := g.opts.Clock.Now()
 	if !renewable {
-		return func() bool { return true }
+		return func() (clock.Millis, bool) { return calledAt, true }
+	}
+	var toldAt clock.Millis
+	var acknowledged bool
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		acknowledged = g.opts.Broadcast(ctx, grace)
+		toldAt = g.opts.Clock.Now()
+	}()
+	return func() (clock.Millis, bool) {
+		<-ended
+		return toldAt, acknowledged
 	}
-	acknowledged := make(chan bool, 1)
-	go func() { acknowledged <- g.opts.Broadcast(ctx, grace) }()
-	return sync.OnceValue(func() bool { return <-acknowledged })
 }
 
 // stopMember retries the stop of one member until the process that holds it answers or its
 // lease must have ended. It returns false when the member did not confirm the stop.
-func (g *Gang) stopMember(ctx context.Context, m job.Member, grace clock.Millis, acknowledged func() bool) (worker.Task, bool) {
-	firstCall := g.opts.Clock.Now()
+func (g *Gang) stopMember(ctx context.Context, m job.Member, grace clock.Millis, told func() (clock.Millis, bool)) (worker.Task, bool) {
 	for ctx.Err() == nil {
 		if a := g.opts.Agent(m.Worker); a != nil {
 			t, err := g.stopOnce(ctx, a, m, grace)
@@ -85,7 +95,7 @@
 				return worker.Task{State: worker.LeaseExpired}, false
 			}
 		}
-		if g.opts.Clock.Now() >= firstCall+g.maxRemainingLease(acknowledged) {
+		if g.opts.Clock.Now() >= g.mayRunUntil(told) {
 			return worker.Task{}, false
 		}
 		clock.Sleep(ctx, clock.FromDuration(retryInterval))
@@ -100,23 +110,25 @@
 	return a.Stop(ctx, worker.Stop{ID: r.Spec.ID(), Attempt: r.Attempt, Term: g.opts.Term, Grace: grace, Incarnation: m.Incarnation})
 }
 
-// maxRemainingLease returns how long after the first call, in milliseconds, a member that
-// does not answer may still run. Before the first lift that is 0. After it, and for every
-// gang that another scheduler has recorded, it is the longest lease that the member can have,
-// by the slowest clock, plus, for a job that is not idempotent, the time for which an instance
-// that did not acknowledge the broadcast may keep renewing it.
-func (g *Gang) maxRemainingLease(acknowledged func() bool) clock.Millis {
+// mayRunUntil returns the time until which a member that does not answer may still run. Before
+// the first lift that is 0. After it, and for every gang that another scheduler has recorded,
+// it is the end of the longest lease that the member can have, by the slowest clock, plus, for
+// a job that is not idempotent, the time for which an instance that did not acknowledge the
+// broadcast may keep renewing it.
+func (g *Gang) mayRunUntil(told func() (clock.Millis, bool)) clock.Millis {
 	g.mu.Lock()
 	lifted := g.lifted || g.opts.Foreign
 	g.mu.Unlock()
 	if !lifted {
 		return 0
 	}
-	span := g.opts.Times.lapse() + g.opts.Times.CallTimeout
-	if !g.opts.Record.Spec.Idempotent && !acknowledged() {
-		span += g.opts.OrphanTimeout
+	// An instance may renew the lease until it acknowledges the broadcast.
+	toldAt, acknowledged := told()
+	until := toldAt + g.opts.Times.lapse() + g.opts.Times.CallTimeout
+	if !g.opts.Record.Spec.Idempotent && !acknowledged {
+		until += g.opts.OrphanTimeout
 	}
-	return span
+	return until
 }
 
 // summarize returns the result of a stop from the last known states of the members.
