gang: tell the renewing instances when another scheduler's gang is stopped

A scheduler that lost the race for a job's record stops the gang that an older scheduler has placed (dispatch, stopForeignGang) without having adopted it. It then told no instance of the stop, because it had not seen the gang run, and took that for an acknowledgment by all. An instance that reached the worker renewed the member's lease for as long as it liked, and the gang was lost while the member ran.

The broadcast is now sent for every gang that another scheduler has recorded, as the wait for its lease has been.

Evidence: the spec 'is not given up while nobody has told that instance' failed before (the member runs on after the result "lost") and passes.

Price: one notice to each instance of the domain for such a stop; work that may not run twice at a time waits for instances that can't be reached, as for an adopted gang.

--- a/gang/renewed_test.go
+++ b/gang/renewed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -52,4 +53,28 @@
 		Entry("for work that may not run twice at a time", false),
 		Entry("for idempotent work", true),
 	)
+
+	It("is not given up while nobody has told that instance, when another scheduler stops it", func() {
+		Expect(renewing().Start(context.Background()).Kind).To(Equal(scheduler.Started))
+		agent := s.agent("a-0").(*worker.Client)
+		s.setAgent("a-0", nil)
+		ctx, told := context.WithCancel(context.Background())
+		DeferCleanup(told)
+		var renewals sync.WaitGroup
+		renewals.Go(func() {
+			for clock.Sleep(ctx, 100) {
+				_, _ = agent.Renew(ctx, worker.Renewal{Term: 2, Lease: s.times.Lease})
+			}
+		})
+		r := stopNow(gang.New(gang.Options{
+			Record: s.record, Term: 2, Foreign: true, Times: s.times, Agent: s.agent,
+			Broadcast: func(context.Context, clock.Millis) bool {
+				told()
+				renewals.Wait()
+				return true
+			},
+		}))
+		Expect(running(s.workers[0])).To(BeZero(), "the member runs on after the result %s", r.Kind)
+		Expect(r.Kind).To(Equal(scheduler.Lost))
+	})
 })
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -59,7 +59,7 @@
 // acknowledged.
 func (g *Gang) broadcast(ctx context.Context, grace clock.Millis) func() (clock.Millis, bool) {
 	g.mu.Lock()
-	renewable := g.renewable
+	renewable := g.renewable || g.opts.Foreign
 	g.mu.Unlock()
 	calledAt := g.opts.Clock.Now()
 	if !renewable {
