controller: have a restarted worker reject orders that are under way although their runs are over

A finished task was started again: a copy of its order got no answer, the next one was carried out and acknowledged, and the first one reached the process that the worker started after. A copy that arrives before the leader learns of the restart can't be prevented.

Evidence: the spec 'does not start a finished task again in a new process of its worker' fails without the stops and passes with them.

--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -49,5 +49,6 @@
 			c.requestStop(r)
 		}
 	}
+	c.stopStrayOrders(n)
 	c.planNeeded = true
 }
--- a/controller/late_test.go
+++ b/controller/late_test.go
@@ -66,6 +66,17 @@
 		Expect(c.starts(jobID(2) + ".0.0.0")).To(HaveLen(1))
 	})
 
+	It("does not start a finished task again in a new process of its worker", func() {
+		c, i, first := newLeader(shortLease)
+		first.DelayStarts(1500*time.Millisecond, 1)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=100", Steps: []workflow.Step{step(1)}})
+		Eventually(func() workflow.State { return i.state(jobID(2)) }, shortTimeout).Should(Equal(workflow.Completed))
+		first.Restart()
+		first.Register("ready")
+		Consistently(c.repeats, 2500*time.Millisecond).Should(BeEmpty())
+		Expect(c.starts(jobID(2) + ".0.0.0")).To(HaveLen(1))
+	})
+
 	It("gives up a run whose order a new process answered before its polls fail, once its lease has expired", func() {
 		c, i, first := newLeader(shortLease)
 		time.Sleep(8 * time.Second) // the clock of the process that is known is ahead of the next one's
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -96,6 +96,8 @@
 	// unknownRuns are runs that the worker reports but that belong to no current run of a
 	// job. They are being stopped.
 	unknownRuns map[runKey]bool
+	// strayOrders holds, by run, when the leader noticed that an order got no answer.
+	strayOrders map[runKey]clock.Millis
 	// failures is the number of consecutive failures of different jobs on the worker.
 	// lastFailedJob is the ID of the last of these jobs.
 	failures      int
@@ -131,7 +133,7 @@
 func (c *Controller) nodeByID(id string) *node {
 	n := c.nodes[id]
 	if n == nil {
-		n = &node{id: id, runs: make(map[*run]bool), unknownRuns: make(map[runKey]bool)}
+		n = &node{id: id, runs: make(map[*run]bool), unknownRuns: make(map[runKey]bool), strayOrders: make(map[runKey]clock.Millis)}
 		c.nodes[id] = n
 	}
 	return n
@@ -197,10 +199,11 @@
 	}
 }
 
-// dropUnusedNodes removes the workers that have neither an entry in the store nor runs.
+// dropUnusedNodes removes the workers that have neither an entry in the store nor runs, not even late
+// ones.
 func (c *Controller) dropUnusedNodes() {
 	for id, n := range c.nodes {
-		if !n.listed && len(n.runs) == 0 && len(n.unknownRuns) == 0 {
+		if !n.listed && len(n.runs) == 0 && len(n.unknownRuns) == 0 && len(n.strayOrders) == 0 {
 			delete(c.nodes, id)
 		}
 	}
@@ -392,6 +395,7 @@
 		}
 		n.pollAnswered = false
 	}
+	n.dropOldStrayOrders(now)
 	if n.listed && n.worker.State == agent.Draining {
 		c.stopUnfinishableRuns(n, now)
 	}
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -103,10 +103,13 @@
 
 // onOrderAnswer handles the answer to an order, or its failure.
 func (c *Controller) onOrderAnswer(r *run, order agent.Order, verdict agent.Verdict, workerClock clock.Millis, err error) {
+	now := c.opts.Clock.Now()
+	if err != nil && !isRefusal(err) {
+		r.node.strayOrders[runKey{r.task.id(), r.number}] = now
+	}
 	if r.task.run != r || r.state != ordered {
 		return
 	}
-	now := c.opts.Clock.Now()
 	switch {
 	case workerClock == 0 || r.ofEarlierProcess():
 	case workerClock+orderTimeout < r.node.estimatedClock(now, 1-maxClockLag):
