--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -32,6 +32,7 @@
 
 var cases = map[string]func(*cluster) (broken bool, err error){
 	"cancel-after-unsure": cancelAfterUnsure,
+	"start-on-draining":   startOnDraining,
 }
 
 // cluster is one small installation on loopback addresses.
