--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/trial start-on-draining review/3
+exec target/review/trial fractional-bound review/3
--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(*cluster) (broken bool, err error){
 	"cancel-after-unsure": cancelAfterUnsure,
 	"start-on-draining":   startOnDraining,
+	"fractional-bound":    fractionalBound,
 }
 
 // cluster is one small installation on loopback addresses.
