--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -34,6 +34,7 @@
 	"cancel-after-unsure": cancelAfterUnsure,
 	"start-on-draining":   startOnDraining,
 	"fractional-bound":    fractionalBound,
+	"leave-at-hand-over":  leaveAfterHandOver,
 }
 
 // cluster is one small installation on loopback addresses.
