--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/trial leave-at-hand-over review/4
+exec target/review/trial fractional-bound review/4
--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -32,9 +32,9 @@
 
 var cases = map[string]func(*cluster) (broken bool, err error){
 	"cancel-after-unsure": cancelAfterUnsure,
-	"start-on-draining":   startOnDraining,
 	"fractional-bound":    fractionalBound,
 	"leave-at-hand-over":  leaveAfterHandOver,
+	"late-to-reborn":      lateOrderToReborn,
 }
 
 // cluster is one small installation on loopback addresses.
