--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -35,6 +35,7 @@
 	"fractional-bound":    fractionalBound,
 	"leave-at-hand-over":  leaveAfterHandOver,
 	"late-to-reborn":      lateOrderToReborn,
+	"restart-in-outage":   restartInOutage,
 }
 
 // cluster is one small installation on loopback addresses.
