--- a/review/_trial/cluster.go
+++ b/review/_trial/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -92,22 +91,33 @@
 ttlMinMs = 1000
 `
 
-// freePorts returns ports of the loopback interface that are free at the time of the call.
-func freePorts(count int) ([]int, error) {
+// reservePorts binds sockets to free ports of the loopback interface and leaves them so until this process ends.
+// An instance can listen at such a port, also after a restart, since both sockets have the option SO_REUSEADDR;
+// the system gives the port to nobody who asks for any.
+func reservePorts(count int) ([]int, error) {
 	var ports []int
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+			return nil, err
+		}
+		if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+			return nil, err
+		}
+		bound, err := syscall.Getsockname(socket)
+		if err != nil {
+			return nil, err
+		}
+		ports = append(ports, bound.(*syscall.SockaddrInet4).Port)
 	}
 	return ports, nil
 }
 
 func newInstance(dir, name, zone, store string) (*instance, error) {
-	ports, err := freePorts(4)
+	ports, err := reservePorts(4)
 	if err != nil {
 		return nil, err
 	}
