intake: keep a final state that another instance has told

What callers saw: an instance that had lost the store answered completed, through another instance, and at the next query running, from its own old view, when the other one could not be asked any more.

Cause: an answer of another instance was passed on and forgotten. Which instance is asked is random, and one that has just refused or failed rests, so answers could go back and forth.

The fix: a final state by which another instance has answered is kept with the job until the own view has one. Final states are told only when they are recorded, so it stays true.

--- a/board/board.go
+++ b/board/board.go
@@ -88,6 +88,9 @@
 	// Held is the end of the job if it is known from a leader and not recorded yet; nil
 	// otherwise.
 	Held *workflow.Progress
+	// Confirmed is the final state that another instance has read from the store, if this instance has
+	// not read it yet; "" otherwise.
+	Confirmed workflow.State
 }
 
 // State returns the state of the job as reported to callers. A recorded final state takes precedence
@@ -97,6 +100,8 @@
 	switch {
 	case v.Progress.State.Final():
 		return v.Progress.State
+	case v.Confirmed != "":
+		return v.Confirmed
 	case v.Cancelled:
 		return workflow.Cancelled
 	case v.Progress.State == "":
@@ -161,6 +166,9 @@
 			// The list was begun before this progress was written or read.
 			v.Progress, v.Version = previous.Progress, previous.Version
 		}
+		if previous != nil && !v.Progress.State.Final() {
+			v.Confirmed = previous.Confirmed
+		}
 		if previous == nil || previous.Record == nil || previous.Cancelled != v.Cancelled {
 			updates = append(updates, b.withHeld(v))
 		}
@@ -248,6 +256,7 @@
 		}
 		v.Progress, v.Version = p, e.Version
 		if p.State.Final() {
+			v.Confirmed = ""
 			delete(b.held, id)
 		}
 	case cancelKind:
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -74,6 +74,24 @@
 		Expect(v.Held).To(BeNil())
 	})
 
+	// Guards against an instance that goes back from a final state that another one has read.
+	It("reports a final state that another instance has read until it has read one itself", func() {
+		b := board.New(nil)
+		b.Confirm("a", workflow.Completed)
+		b.Add(record("a", "q"), progress("a", 2, workflow.Running))
+		v, _ := b.Find("a")
+		Expect(v.State()).To(Equal(workflow.Running), "the job was not known when it was confirmed")
+		b.Confirm("a", workflow.Completed)
+		b.Add(progress("a", 3, workflow.Running))
+		b.Replace([]kv.Entry{record("a", "q"), progress("a", 4, workflow.Running)})
+		v, _ = b.Find("a")
+		Expect(v.State()).To(Equal(workflow.Completed))
+		b.Add(progress("a", 5, workflow.Failed))
+		b.Confirm("a", workflow.Completed)
+		v, _ = b.Find("a")
+		Expect(v.State()).To(Equal(workflow.Failed))
+	})
+
 	It("keeps progress that is newer than a list that was begun before it", func() {
 		b := board.New(nil)
 		b.Add(record("a", "q"), progress("a", 6, workflow.Completed))
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -132,6 +132,29 @@
 		Expect(instance.Stop(ctx)).To(Succeed())
 	})
 
+	// Guards against a caller that is told through another instance that its job is completed, and at the
+	// next query that it is running, since the other one has stopped meanwhile.
+	It("does not go back from a final state that another one has told", func() {
+		store := platformtest.NewStore()
+		DeferCleanup(store.Close)
+		DeferCleanup(platformtest.NewWorker(platformtest.WorkerOptions{Store: store, ID: "i-1"}).Close)
+		storeLink := newLink(store.Address())
+		connected, cutOff := startInstance("e1", "a", store.Address()), startInstance("e2", "a", storeLink.listener.Addr().String())
+		store.Put(platform.ConfigKey, platformtest.Config(1, platformtest.Queue{Name: "q", Attempts: 1}))
+		state := func() string {
+			state, _ := caller.State(ctx, cutOff.settings.CallerAddress, "q", id)
+			return state
+		}
+		Eventually(func() int {
+			return caller.Submit(ctx, connected.settings.CallerAddress, "q", id, platformtest.Job{Spec: "ms=2500", Count: 1})
+		}, 3*time.Second).Should(Equal(200))
+		Eventually(state, 3*time.Second).Should(Equal("running"))
+		storeLink.cut()
+		Eventually(state, 8*time.Second).Should(Equal("completed"))
+		Expect(connected.Stop(ctx)).To(Succeed())
+		Consistently(state, time.Second).Should(Equal("completed"))
+	})
+
 	It("accepts and tells through another one, and never goes back to an older configuration", func() {
 		store := platformtest.NewStore()
 		DeferCleanup(store.Close)
--- a/intake/state.go
+++ b/intake/state.go
@@ -38,6 +38,14 @@
 	return Answer{Verdict: OK, State: view.State(), Outdated: !reachable && !view.State().Final()}
 }
 
+// Confirm notes that another instance has answered the call with a final state of the job, so that this
+// one does not go back to an older state.
+func (h *Handler) Confirm(g Grant, s workflow.State) {
+	if s.Final() {
+		h.opts.Board.Confirm(g.ID, s)
+	}
+}
+
 // latest returns the newest state of an unfinished job. Callers ask for a running job when they
 // expect its end, and the local view is behind the store. So latest gives the end of a running
 // job the time to be recorded, and reads the store unless the local view shows it by then.
