intake: record the cancellation of a job that does not exist yet

Cause: the 504 says that the write of the job's record may still be carried out. The cancellation looked for the record, found none, answered 410 and kept nothing, so the late write made the job an accepted one.

Jobs that were cancelled after a 200 were stopped, so the leader does not overlook a cancellation that is recorded.

The fix: the cancellation is recorded as a withdrawal, a key beside the job's others that names the account and the queue of the caller, and answered 410 after that. A record of that owner is cancelled whenever it appears, in the view of each instance and so by the leader.

--- a/board/board.go
+++ b/board/board.go
@@ -116,7 +116,9 @@
 	jobs map[string]*View
 	// held holds the ends of jobs that are not recorded yet, by ID. leaderTerm is the term of the
 	// last leader that was seen; 0 before.
-	held       map[string]workflow.Progress
+	held map[string]workflow.Progress
+	// withdrawn holds the owners in the keys of withdrawals, by the ID of the job and by key.
+	withdrawn  map[string]map[string]workflow.Owner
 	leaderTerm uint64
 	// leader is the value of the leader's key; "" if there is none. progressCount is the number of
 	// changes of progress that were seen, which only leaders write.
@@ -134,7 +136,7 @@
 	if onDecodeError == nil {
 		onDecodeError = func(string, error) {}
 	}
-	return &Board{jobs: make(map[string]*View), held: make(map[string]workflow.Progress), onDecodeError: onDecodeError}
+	return &Board{jobs: make(map[string]*View), held: make(map[string]workflow.Progress), withdrawn: make(map[string]map[string]workflow.Owner), onDecodeError: onDecodeError}
 }
 
 // Watch registers f to be called with the view of a job when its record or its cancellation is
@@ -151,6 +153,7 @@
 	b.mu.Lock()
 	previousJobs := b.jobs
 	b.jobs, b.leader = make(map[string]*View, len(entries)/2), ""
+	clear(b.withdrawn)
 	var updates []View
 	for _, e := range entries {
 		if e.Key == LeaderKey {
@@ -221,8 +224,11 @@
 // its cancellation is new, and nil otherwise.
 func (b *Board) update(e kv.Entry) *View {
 	id, kind, ok := split(e.Key)
-	if !ok {
+	switch {
+	case !ok:
 		return nil
+	case isWithdrawal(kind):
+		return b.withdraw(id, e)
 	}
 	v := b.jobs[id]
 	if v == nil {
@@ -241,6 +247,7 @@
 		}
 		r.ID = id
 		v.Record = r
+		v.Cancelled = v.Cancelled || b.isWithdrawn(v)
 		return v
 	case progressKind:
 		if e.Version < v.Version {
@@ -270,9 +277,13 @@
 
 func (b *Board) remove(key string) {
 	id, kind, ok := split(key)
-	if ok && kind == recordKind {
+	switch {
+	case !ok:
+	case kind == recordKind:
 		delete(b.jobs, id)
 		delete(b.held, id)
+	case isWithdrawal(kind):
+		b.forgetWithdrawal(id, key)
 	}
 }
 
@@ -300,14 +311,19 @@
 	return list
 }
 
-// Has reports whether a job's record key or cancellation key has been seen.
+// Has reports whether the key of a job's record, cancellation or withdrawal has been seen.
 func (b *Board) Has(key string) bool {
 	id, kind, ok := split(key)
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	v := b.jobs[id]
 	switch {
-	case !ok || v == nil:
+	case !ok:
+		return false
+	case isWithdrawal(kind):
+		_, seen := b.withdrawn[id][key]
+		return seen
+	case v == nil:
 		return false
 	case kind == cancelKind:
 		return v.Cancelled
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -41,6 +41,63 @@
 		Entry("whose older progress arrives after the newer one", workflow.Completed, record("a", "q"), progress("a", 9, workflow.Completed), progress("a", 4, workflow.Running)),
 	)
 
+	withdrawal := func(token string, o workflow.Owner) kv.Entry {
+		return kv.Entry{Key: board.WithdrawalKey("a", token), Version: 3, Value: workflow.Encode(o)}
+	}
+	ofAccount := func(queue, account string) kv.Entry {
+		return kv.Entry{Key: board.RecordKey("a"), Version: 4, Value: workflow.Encode(workflow.Record{Queue: queue, Account: account})}
+	}
+
+	// Guards against a job that runs although its cancellation was answered before its record was written.
+	DescribeTable("returns the state of a job that its owner or another one has withdrawn",
+		func(want workflow.State, entries ...kv.Entry) {
+			check := func(b *board.Board) {
+				GinkgoHelper()
+				v, ok := b.Find("a")
+				Expect(ok).To(BeTrue())
+				Expect(v.State()).To(Equal(want))
+			}
+			b := board.New(nil)
+			var seen []workflow.State
+			b.Watch(func(v board.View) { seen = append(seen, v.State()) })
+			b.Add(entries...)
+			check(b)
+			Expect(seen).To(ContainElement(want), "the leader learns of it")
+			for _, e := range entries {
+				Expect(b.Has(e.Key)).To(BeTrue())
+			}
+			b.Replace(entries)
+			check(b)
+			// The store deletes withdrawals after a while.
+			b.Apply([]kv.Change{{Entry: kv.Entry{Key: board.WithdrawalKey("a", "t")}, Deleted: true}})
+			Expect(b.Has(board.WithdrawalKey("a", "t"))).To(BeFalse())
+			check(b)
+		},
+		Entry("before its record", workflow.Cancelled, withdrawal("t", workflow.Owner{Queue: "q", Account: "x"}), ofAccount("q", "x")),
+		Entry("after its record", workflow.Cancelled, ofAccount("q", "x"), withdrawal("t", workflow.Owner{Queue: "q", Account: "x"})),
+		Entry("beside another one", workflow.Cancelled, withdrawal("t", workflow.Owner{Queue: "q", Account: "y"}), withdrawal("u", workflow.Owner{Queue: "q", Account: "x"}), ofAccount("q", "x")),
+		Entry("in a public queue", workflow.Cancelled, withdrawal("t", workflow.Owner{Queue: "q", Account: "y", Public: true}), ofAccount("q", "x")),
+		Entry("of another account", workflow.Queued, withdrawal("t", workflow.Owner{Queue: "q", Account: "y"}), ofAccount("q", "x")),
+		Entry("in another queue", workflow.Queued, ofAccount("q", "x"), withdrawal("t", workflow.Owner{Queue: "r", Account: "x"})),
+	)
+
+	It("does not cancel a job by a withdrawal that can't be read", func() {
+		var unreadable []string
+		b := board.New(func(key string, _ error) { unreadable = append(unreadable, key) })
+		b.Add(kv.Entry{Key: board.WithdrawalKey("a", "t"), Version: 3, Value: []byte("\xff")}, ofAccount("q", "x"))
+		v, _ := b.Find("a")
+		Expect(v.State()).To(Equal(workflow.Queued))
+		Expect(unreadable).To(Equal([]string{board.WithdrawalKey("a", "t")}))
+	})
+
+	It("does not know a job that was withdrawn and never submitted", func() {
+		b := board.New(nil)
+		b.Add(withdrawal("t", workflow.Owner{Queue: "q"}))
+		_, ok := b.Find("a")
+		Expect(ok).To(BeFalse())
+		Expect(b.Pending("q")).To(BeZero())
+	})
+
 	DescribeTable("returns the state of a job whose end is held",
 		func(want workflow.State, later ...kv.Entry) {
 			b := board.New(nil)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -150,8 +150,13 @@
 	// noticeLease is the ID of the store's lease under which notices are written; 0 while there
 	// is none.
 	noticeLease atomic.Uint64
-	cancel      context.CancelFunc
-	running     sync.WaitGroup
+	// lease is the ID of the store's lease under which withdrawals are written, or 0; leaseRenewAt is
+	// when it is replaced.
+	leaseLock    sync.Mutex
+	lease        uint64
+	leaseRenewAt clock.Millis
+	cancel       context.CancelFunc
+	running      sync.WaitGroup
 }
 
 // New returns a handler and starts its background work, which Stop ends.
@@ -250,7 +255,7 @@
 		AcceptedAt: h.opts.Clock.Now(), Token: h.token(), Spec: spec,
 	}
 	entry := kv.Entry{Key: board.RecordKey(g.ID), Value: workflow.Encode(record)}
-	version, kind, err := h.create(ctx, entry)
+	version, kind, err := h.create(ctx, entry, 0)
 	switch kind {
 	case kv.OK:
 		entry.Version = version
@@ -268,22 +273,21 @@
 // errUnreachable is the error of a call that was not sent because the store is unreachable.
 var errUnreachable = errors.New("the store is not reachable from here")
 
-// create writes a key that must not exist yet, and returns its version. It retries a write that
-// gets no answer once, which is safe: the condition ensures that the write takes effect at most
-// once.
-func (h *Handler) create(ctx context.Context, entry kv.Entry) (uint64, kv.Kind, error) {
+// create writes a key that must not exist yet, under a lease unless that is 0, and returns its version.
+// It retries a write that gets no answer once, which is safe: the condition ensures that the write takes
+// effect at most once. The kind is kv.Missing if the lease does not exist.
+func (h *Handler) create(ctx context.Context, entry kv.Entry, lease uint64) (uint64, kv.Kind, error) {
 	if !h.opts.Reachable() {
 		return 0, kv.Refused, errUnreachable
 	}
 	retried := false
 	for {
-		version, err := h.commit(ctx, h.withNotice(entry))
+		version, err := h.commit(ctx, h.withNotice(entry, lease))
 		kind := kv.KindOf(err)
 		switch {
-		case kind == kv.Missing:
-			// The lease of the notice has expired, and nothing was written. The next attempt
-			// writes no notice; the leader still learns of the key from its watch.
-			h.noticeLease.Store(0)
+		case kind == kv.Missing && h.noticeLease.Swap(0) != 0:
+			// A lease has expired, perhaps that of the notice, and nothing was written. The next
+			// attempt writes no notice; the leader still learns of the key from its watch.
 		case kind == kv.OK || kind == kv.Conflict:
 			return version, kind, nil
 		case kind == kv.Ambiguous && !retried && ctx.Err() == nil && h.opts.Reachable():
@@ -299,8 +303,8 @@
 
 // withNotice returns the operations that create an entry and, if there is a lease for notices, a
 // notice, from which the leader learns that the entry was created.
-func (h *Handler) withNotice(entry kv.Entry) []kv.Op {
-	ops := []kv.Op{{Key: entry.Key, Value: entry.Value}}
+func (h *Handler) withNotice(entry kv.Entry, entryLease uint64) []kv.Op {
+	ops := []kv.Op{{Key: entry.Key, Value: entry.Value, Lease: entryLease}}
 	if lease := h.noticeLease.Load(); lease != 0 {
 		ops = append(ops, kv.Op{Key: board.NoticeKey(h.opts.Clock.Now(), entry.Key), Value: []byte{}, Lease: lease})
 	}
@@ -317,17 +321,24 @@
 	return fmt.Sprintf("%s/%x/%x", h.opts.Name, h.processNonce, h.tokenCount.Add(1))
 }
 
-// Cancel records the cancellation of a job. It does not change a job that has already ended.
+// Cancel records the cancellation of a job, also of one that does not exist yet, for which the answer is
+// NoJob. It does not change a job that has already ended.
 func (h *Handler) Cancel(ctx context.Context, g Grant) Answer {
-	view, answer := h.findOwn(ctx, g)
-	if answer != nil {
+	view, answer := h.lookUp(ctx, g)
+	switch {
+	case answer != nil && answer.Verdict == NoJob:
+		return h.withdraw(ctx, g)
+	case answer != nil:
 		return *answer
+	case !g.owner().Owns(view.Record):
+		h.logForeign(g, view.Record)
+		return *noJob()
 	}
 	if view.Cancelled || view.Progress.State.Final() {
 		return Answer{Verdict: OK, Reason: "over before"}
 	}
 	entry := kv.Entry{Key: board.CancelKey(g.ID), Value: []byte(h.token())}
-	version, kind, err := h.create(ctx, entry)
+	version, kind, err := h.create(ctx, entry, 0)
 	switch kind {
 	case kv.OK, kv.Conflict:
 		entry.Version = version
--- a/intake/owner.go
+++ b/intake/owner.go
@@ -10,16 +10,15 @@
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
-// owns reports whether a job is in the addressed queue and belongs to the caller's account. Calls
-// to a public queue need no key, so everyone who knows the ID of a job there may access it.
-func (g Grant) owns(r *workflow.Record) bool {
-	return r.Queue == g.Queue.Name && (g.Queue.Public || r.Account == g.Account.Name)
+// owner returns whose jobs the call may access.
+func (g Grant) owner() workflow.Owner {
+	return workflow.Owner{Queue: g.Queue.Name, Account: g.Account.Name, Public: g.Queue.Public}
 }
 
 // answerDuplicate answers a submission with the ID of an existing record. The same job is
 // accepted again. A different job is refused, because its ID is taken and it would never run.
 func (h *Handler) answerDuplicate(g Grant, existing *workflow.Record, spec workflow.Spec, reason string) Answer {
-	if !g.owns(existing) {
+	if !g.owner().Owns(existing) {
 		h.logForeign(g, existing)
 		return Answer{Verdict: IDTaken, Reason: "the ID is taken"}
 	}
@@ -58,7 +57,7 @@
 // and in the store if the job is not known locally. The answer is nil if the job is found.
 func (h *Handler) findOwn(ctx context.Context, g Grant) (board.View, *Answer) {
 	view, answer := h.lookUp(ctx, g)
-	if answer == nil && !g.owns(view.Record) {
+	if answer == nil && !g.owner().Owns(view.Record) {
 		h.logForeign(g, view.Record)
 		return board.View{}, noJob()
 	}
