controller: record no end of a job that was cancelled first

What callers would see: a job is cancelled, shown as cancelled, and later shown as completed or failed.

Cause: nothing decided which of an end and a cancellation came first. The leader recorded an end over a cancellation that was recorded while its write waited, a later leader took over a held end of a cancelled job, and an instance that had recorded a cancellation told it although its own view lacked the end that was recorded before.

The fix: the write of an end requires that the cancellation does not exist. Held ends of cancelled jobs are not taken over, and views take a cancellation together with the progress. The store accepts 32 entries in a write, so 10 jobs that end go into one, not 15.

--- a/board/board.go
+++ b/board/board.go
@@ -46,6 +46,12 @@
 // JobPrefix returns the prefix of the keys of one job.
 func JobPrefix(id string) string { return jobPrefix + id + "/" }
 
+// JobID returns the ID in one of the keys of a job, or "" if it is another key.
+func JobID(key string) string {
+	id, _, _ := split(key)
+	return id
+}
+
 // noticePrefix is the prefix of the notice keys. A notice names the key of a new job or of a
 // cancellation, and notices are ordered by time. They are for readers that can't wait for the
 // watch to deliver the change.
--- a/controller/ends.go
+++ b/controller/ends.go
@@ -35,9 +35,10 @@
 	}
 }
 
-// restoreHeldEnd takes over the end of a job that an earlier leader knew and could not record.
+// restoreHeldEnd takes over the end of a job that an earlier leader knew and could not record, unless the
+// job was cancelled meanwhile.
 func (c *Controller) restoreHeldEnd(j *job, held *workflow.Progress) {
-	if held == nil || j.state.Final() {
+	if held == nil || j.state.Final() || j.cancelled {
 		return
 	}
 	c.opts.Log.WithField("job", j.id).WithField("state", string(held.State)).Info("controller: taking over an end that is not recorded")
--- a/controller/flush.go
+++ b/controller/flush.go
@@ -9,15 +9,17 @@
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
-// maxBatchJobs is the maximum number of jobs in one write. The store accepts 32 entries in a
-// transaction: two for each job and one for the leader's key.
-const maxBatchJobs = 15
+// maxBatchEntries is the largest number of entries that the store accepts in a transaction. Each condition
+// and each put is an entry.
+const maxBatchEntries = 32
 
-// batch is one write of the progress of several jobs. The elements of jobs, changes and entries
-// belong together; changes holds each job's change count at the time of the write.
+// batch is one write of the progress of several jobs. The elements of jobs, changes, ends and entries
+// belong together; changes holds each job's change count at the time of the write, and ends tells whether
+// the job's final state is written.
 type batch struct {
 	jobs    []*job
 	changes []int
+	ends    []bool
 	ops     []kv.Op
 	entries []kv.Entry
 	// runs are the runs whose orders are sent once the write has succeeded.
@@ -49,9 +51,15 @@
 
 func (c *Controller) nextBatch() batch {
 	b := batch{ops: []kv.Op{{Key: board.LeaderKey, Version: c.term, RequireVersion: true}}}
+	entryCount := 1
 	now := c.opts.Clock.Now()
 	for j := range c.dirty {
-		if len(b.jobs) == maxBatchJobs {
+		// The version of the progress key and its new value.
+		entryCount += 2
+		if j.mayBeCancelledFirst() {
+			entryCount++
+		}
+		if entryCount > maxBatchEntries {
 			break
 		}
 		delete(c.dirty, j)
@@ -62,8 +70,12 @@
 		e := kv.Entry{Key: board.ProgressKey(j.id), Value: workflow.Encode(j.encode())}
 		b.jobs = append(b.jobs, j)
 		b.changes = append(b.changes, j.changes)
+		b.ends = append(b.ends, j.state.Final())
 		b.entries = append(b.entries, e)
 		b.ops = append(b.ops, kv.Op{Key: e.Key, Version: j.version, Value: e.Value})
+		if j.mayBeCancelledFirst() {
+			b.ops = append(b.ops, kv.Op{Key: board.CancelKey(j.id), RequireAbsent: true})
+		}
 	}
 	return b
 }
@@ -89,6 +101,7 @@
 		for i, j := range b.jobs {
 			j.version = version
 			j.recordedChanges = max(j.recordedChanges, b.changes[i])
+			j.endRecorded = j.endRecorded || b.ends[i]
 			b.entries[i].Version = version
 		}
 		c.opts.Board.Add(b.entries...)
@@ -107,7 +120,7 @@
 	case kv.Conflict:
 		c.opts.Log.WithError(err).WithField("term", c.term).Warn("controller: progress not recorded, another write came first")
 		c.countRetry("conflict")
-		c.refreshVersions(b)
+		c.resolveConflict(b)
 	default:
 		c.opts.Log.WithError(err).WithField("jobs", len(b.jobs)).Warn("controller: progress not recorded")
 		c.countRetry("progress")
@@ -132,41 +145,3 @@
 		c.post(func() { c.runInTerm(term, f) })
 	}()
 }
-
-// refreshVersions reads the current versions of a batch's keys from the store and requeues the
-// jobs. After a conflict the versions in the job structs may be outdated, because an earlier write
-// of this leader took effect although its answer was lost.
-func (c *Controller) refreshVersions(b batch) {
-	term := c.term
-	c.flushing = true
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout.Duration())
-		defer cancel()
-		versions := make([]uint64, len(b.jobs))
-		for i, j := range b.jobs {
-			e, err := c.opts.Store.Get(ctx, board.ProgressKey(j.id))
-			if err != nil && kv.KindOf(err) != kv.Missing {
-				c.opts.Log.WithError(err).WithField("job", j.id).Info("controller: version not read")
-				c.post(func() {
-					c.runInTerm(term, func() {
-						c.afterRetryDelay(func() {
-							c.flushing = false
-							c.requeue(b)
-						})
-					})
-				})
-				return
-			}
-			versions[i] = e.Version
-		}
-		c.post(func() {
-			c.runInTerm(term, func() {
-				c.flushing = false
-				for i, j := range b.jobs {
-					j.version = versions[i]
-				}
-				c.afterRetryDelay(func() { c.requeue(b) })
-			})
-		})
-	}()
-}
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -105,6 +105,10 @@
 	// delay before each read of a single key.
 	loseNextWrite bool
 	readDelay     time.Duration
+	// beforeCommit is called before each write, and afterCommit after each that has succeeded, which then
+	// has the outcome that it returns; nil calls nothing.
+	beforeCommit func(ops []kv.Op)
+	afterCommit  func(ops []kv.Op) error
 	// resumesAt is the time until which the instance is suspended.
 	resumesAt time.Time
 	// refuseRenewals makes all polls fail. commitAnswerDelay delays the answers to writes, as if the
@@ -129,10 +133,16 @@
 }
 
 func (h *hooks) Commit(ctx context.Context, ops []kv.Op) (uint64, error) {
-	version, err := h.Store.Commit(ctx, ops)
 	h.mu.Lock()
-	delay := h.commitAnswerDelay
+	delay, before, after := h.commitAnswerDelay, h.beforeCommit, h.afterCommit
 	h.mu.Unlock()
+	if before != nil {
+		before(ops)
+	}
+	version, err := h.Store.Commit(ctx, ops)
+	if err == nil && after != nil {
+		err = after(ops)
+	}
 	time.Sleep(delay)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -29,6 +29,8 @@
 	// are recorded in the store.
 	changes         int
 	recordedChanges int
+	// endRecorded is set once a final state is recorded in the store.
+	endRecorded bool
 	// unrecordedStart is when the job began to run, until that is recorded; 0 otherwise.
 	unrecordedStart clock.Millis
 	// learnedAt is when this leader first read the job.
@@ -98,7 +100,7 @@
 	}
 	j := &job{
 		id: v.ID, record: v.Record, progress: v.Progress, version: v.Version, state: v.Progress.State,
-		endedAt: v.Progress.EndedAt, cancelled: v.Cancelled, learnedAt: c.opts.Clock.Now(),
+		endedAt: v.Progress.EndedAt, endRecorded: v.Progress.State.Final(), cancelled: v.Cancelled, learnedAt: c.opts.Clock.Now(),
 	}
 	c.jobs[v.ID] = j
 	c.restoreHeldEnd(j, v.Held)
--- a/controller/notices.go
+++ b/controller/notices.go
@@ -58,14 +58,12 @@
 		if !ok || c.opts.Board.Has(key) {
 			continue
 		}
-		e, err := c.opts.Store.Get(ctx, key)
-		if kv.KindOf(err) == kv.Missing {
-			continue
-		}
+		// All keys of the job, since an end may have been recorded before a cancellation.
+		ofJob, _, err := c.opts.Store.List(ctx, board.JobPrefix(board.JobID(key)))
 		if err != nil {
 			return entries, err
 		}
-		entries = append(entries, e)
+		entries = append(entries, ofJob...)
 	}
 	return entries, nil
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -342,7 +342,7 @@
 	switch kind {
 	case kv.OK, kv.Conflict:
 		entry.Version = version
-		h.opts.Board.Add(entry)
+		h.addCancelled(ctx, g.ID, entry)
 		return Answer{Verdict: OK, Reason: "recorded"}
 	case kv.Refused:
 		return Answer{Verdict: Busy, RetryAfter: retryAfter, Reason: err.Error()}
@@ -350,3 +350,19 @@
 		return Answer{Verdict: Unsure, RetryAfter: retryAfter, Reason: err.Error()}
 	}
 }
+
+// addCancelled adds a recorded cancellation to the local view together with the job's progress. That view is
+// behind the store, and a job that ended before its cancellation must not be shown as cancelled.
+func (h *Handler) addCancelled(ctx context.Context, id string, cancelled kv.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	progress, err := h.opts.Store.Get(ctx, board.ProgressKey(id))
+	switch kv.KindOf(err) {
+	case kv.OK:
+		h.opts.Board.Add(progress, cancelled)
+	case kv.Missing:
+		h.opts.Board.Add(cancelled)
+	default:
+		h.opts.Log.WithError(err).WithField("job", id).Debug("intake: progress of a cancelled job not read; the view follows the store later")
+	}
+}
