soak: check that answers to callers are not taken back

States are asked for at random instances during the faults. A second final state of a job, a start over a second after it was told as completed, and a start or a run after its cancellation was answered are violations. A caller that cancels does so now also after an attempt without a certain answer.

--- a/soak/check.go
+++ b/soak/check.go
@@ -29,6 +29,7 @@
 			r.report.Accepted++
 		}
 		r.checkJob(j, startedJobs[j.id], byTask)
+		r.checkAnswers(j, intervals)
 	}
 	for id := range startedJobs {
 		if !submitted[id] {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -95,17 +95,23 @@
 	acceptedAt time.Time
 	refusals   int
 	ambiguous  bool
-	// cancelSent is set before the job's caller asks to cancel it.
+	// cancelSent is set before the job's caller asks to cancel it, and cancelledAt is when that was
+	// answered; the zero time before.
 	cancelSent  bool
 	cancelledAt time.Time
-	state       string
+	// told is the first final state that a caller was told, and toldAt the time of it.
+	told   string
+	toldAt time.Time
+	state  string
 	// endedAt is when a caller was first told that the job has ended; the zero time before.
 	endedAt time.Time
 }
 
 // ended reports whether a caller was told that the job has ended.
-func (j *job) ended() bool {
-	return j.state == "completed" || j.state == "failed" || j.state == "cancelled"
+func (j *job) ended() bool { return isFinal(j.state) }
+
+func isFinal(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled"
 }
 
 type run struct {
@@ -145,6 +151,7 @@
 	var submitter sync.WaitGroup
 	submitter.Go(func() { r.submitJobs(ctx) })
 	submitter.Go(func() { r.submitRackJobs(ctx) })
+	submitter.Go(func() { r.askStates(ctx) })
 	submitter.Go(func() { r.injectFaults(ctx, rand.New(rand.NewPCG(r.opts.Seed, 3)), r.opts.workerKinds()) })
 	r.injectFaults(ctx, r.random, faultKinds)
 	submitter.Wait()
@@ -216,8 +223,8 @@
 		j := r.newJob(number, []string{"urgent", "batch"}[random.IntN(2)], platformtest.Job{
 			Spec: fmt.Sprintf("ms=%d fails=%d", 100+random.IntN(900), max(random.IntN(6)-4, 0)), Count: 1 + random.IntN(4),
 		})
-		cancelWhenAccepted, firstInstance := random.IntN(8) == 0, random.IntN(len(r.processes))
-		calls.Go(func() { r.submitJob(j, firstInstance, cancelWhenAccepted) })
+		cancels, firstInstance := random.IntN(8) == 0, random.IntN(len(r.processes))
+		calls.Go(func() { r.submitJob(j, firstInstance, cancels) })
 		time.Sleep(jobInterval / time.Duration(r.opts.Scale))
 	}
 	calls.Wait()
@@ -239,7 +246,9 @@
 // Each attempt goes to the next instance.
 const maxSubmitAttempts = 4
 
-func (r *run) submitJob(j *job, firstInstance int, cancelWhenAccepted bool) {
+// submitJob submits a job. A caller that cancels does so once the job is accepted, or may be accepted after
+// an attempt without a certain answer.
+func (r *run) submitJob(j *job, firstInstance int, cancels bool) {
 	ctx := context.Background()
 	for attempt := range maxSubmitAttempts {
 		status := r.caller.Submit(ctx, r.processes[(firstInstance+attempt)%len(r.processes)].callerAddress, j.queue, j.id, j.body)
@@ -253,19 +262,29 @@
 			j.ambiguous = true
 		}
 		r.mu.Unlock()
-		if status == 200 {
+		if status == 200 || (cancels && j.ambiguous) {
 			break
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	if !cancelWhenAccepted || !j.accepted {
-		return
+	if cancels && (j.accepted || j.ambiguous) {
+		j.cancelSent = true
+		r.cancelJob(j, firstInstance+1)
 	}
-	j.cancelSent = true
-	if r.caller.Cancel(ctx, r.processes[(firstInstance+1)%len(r.processes)].callerAddress, j.queue, j.id) == 200 {
-		r.mu.Lock()
-		j.cancelledAt = time.Now()
-		r.mu.Unlock()
+}
+
+// cancelJob asks one instance after another to cancel a job until one has answered that it is cancelled, or
+// that there is no such job.
+func (r *run) cancelJob(j *job, firstInstance int) {
+	for attempt := range maxSubmitAttempts {
+		address := r.processes[(firstInstance+attempt)%len(r.processes)].callerAddress
+		if status := r.caller.Cancel(context.Background(), address, j.queue, j.id); status == 200 || status == 410 {
+			r.mu.Lock()
+			j.cancelledAt = time.Now()
+			r.mu.Unlock()
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
 	}
 }
 
@@ -302,6 +321,7 @@
 			}
 			j.state, _ = r.caller.State(context.Background(), r.processes[r.random.IntN(len(r.processes))].callerAddress, j.queue, j.id)
 			r.observedUntil = time.Now()
+			r.noteState(j, j.state)
 			if j.ended() {
 				j.endedAt = r.observedUntil
 			}
