board: keep cancellations that are newer than a list

What callers would see: an instance that records a cancellation while it reads the list of all keys answers cancelled, then running, then cancelled again. Not reported; found by reading.

Cause: a list replaces the view, and it may have been begun before the cancellation was recorded. Progress that is newer than a list was kept before, cancellations and withdrawals were not. A final state that another instance had told was kept also for a later job with the same ID.

The fix: cancellations are never undone, so one that is known of the same job, by the token of its record, is kept, and so is a confirmed final state.

Tests: `newer than a list` in package board, 3 of its 5 cases failed before.

--- a/board/board.go
+++ b/board/board.go
@@ -116,6 +116,12 @@
 	return v.Progress.State
 }
 
+// isSameJob reports whether another view, which may be nil, is of the same job. The ID of a job is free again
+// after its keys were deleted.
+func (v *View) isSameJob(other *View) bool {
+	return other != nil && other.Record != nil && v.Record != nil && other.Record.Token == v.Record.Token
+}
+
 // Board holds the views of all jobs. It is safe for concurrent use.
 type Board struct {
 	mu   sync.RWMutex
@@ -153,8 +159,8 @@
 	b.watchers = append(b.watchers, f)
 }
 
-// Replace replaces all views by the given complete list of entries under Prefix, except for progress
-// that is newer than the list. It reports whether there is a leader.
+// Replace replaces all views by the given complete list of entries under Prefix, except for progress and
+// final states that are newer than the list. It reports whether there is a leader.
 func (b *Board) Replace(entries []kv.Entry) (hasLeader bool) {
 	b.mu.Lock()
 	previousJobs := b.jobs
@@ -175,8 +181,12 @@
 			// The list was begun before this progress was written or read.
 			v.Progress, v.Version = previous.Progress, previous.Version
 		}
-		if previous != nil && !v.Progress.State.Final() {
-			v.Confirmed = previous.Confirmed
+		if v.isSameJob(previous) {
+			// The list may have been begun before the cancellation was recorded.
+			v.Cancelled = v.Cancelled || previous.Cancelled
+			if !v.Progress.State.Final() {
+				v.Confirmed = previous.Confirmed
+			}
 		}
 		if previous == nil || previous.Record == nil || previous.Cancelled != v.Cancelled {
 			updates = append(updates, b.withHeld(v))
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -158,6 +158,27 @@
 		Expect(v.State()).To(Equal(workflow.Completed))
 	})
 
+	// Guards against a job that is shown as cancelled and then as running, because the instance was reading a
+	// list when it recorded the cancellation.
+	DescribeTable("keeps a final state that is newer than a list",
+		func(want workflow.State, token string, change func(b *board.Board)) {
+			submitted := func(token string, version uint64) kv.Entry {
+				return kv.Entry{Key: board.RecordKey("a"), Version: version, Value: workflow.Encode(workflow.Record{Queue: "q", Token: token})}
+			}
+			b := board.New(nil)
+			b.Add(submitted("t", 1), progress("a", 2, workflow.Running))
+			change(b)
+			b.Replace([]kv.Entry{submitted(token, 5), progress("a", 6, workflow.Running)})
+			v, _ := b.Find("a")
+			Expect(v.State()).To(Equal(want))
+		},
+		Entry("of a job that was cancelled", workflow.Cancelled, "t", func(b *board.Board) { b.Add(cancel) }),
+		Entry("of a job that was withdrawn", workflow.Cancelled, "t", func(b *board.Board) { b.Add(withdrawal("w", workflow.Owner{Queue: "q"})) }),
+		Entry("that another instance has read", workflow.Failed, "t", func(b *board.Board) { b.Confirm("a", workflow.Failed) }),
+		Entry("but not that of an earlier job with the same ID, cancelled", workflow.Running, "u", func(b *board.Board) { b.Add(cancel) }),
+		Entry("but not that of an earlier job with the same ID, read elsewhere", workflow.Running, "u", func(b *board.Board) { b.Confirm("a", workflow.Failed) }),
+	)
+
 	It("does not know a job without its record", func() {
 		b := board.New(nil)
 		b.Add(progress("a", 2, workflow.Running))
