controller: read what is recorded of several jobs at the same time

What callers would see: while the store is slow, jobs that have ended stay running, because a leader never gets over a conflict of its write.

Cause: after a conflict the leader read the progress of each job in turn, all under the timeout of one call, 1.2 s. Since it reads the cancellations of ended jobs as well, so ten jobs took up to 20 reads, which with answers of over 60 ms never fit.

The fix: the jobs are read at the same time, so the timeout covers two reads in turn.

Tests: `beside others while the store is slow` in package controller, eight jobs with reads of 250 ms, was not resolved within 6 s before, and is in the same commit as the fix.

--- a/controller/cancelled_test.go
+++ b/controller/cancelled_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -62,6 +63,36 @@
 		Entry("as failed", "ms=200 fails=9"),
 	)
 
+	// Guards against a leader that reads what the store holds of each job in turn, runs into the timeout of a
+	// call whenever the store is slow, and begins again.
+	It("stays cancelled beside others while the store is slow", func() {
+		const jobs = 8
+		c := newCluster(1)
+		var once sync.Once
+		i := c.startInstance(func(h *hooks) {
+			h.readDelay = 250 * time.Millisecond
+			h.beforeCommit = func(ops []kv.Op) {
+				if endsJob(ops) {
+					once.Do(func() {
+						// Meanwhile the other jobs end.
+						time.Sleep(300 * time.Millisecond)
+						for n := range jobs {
+							c.store.Put(board.CancelKey(jobID(n)), []byte("x"))
+						}
+					})
+				}
+			}
+		})
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		for n := range jobs {
+			i.submit(jobID(n), workflow.Spec{Payload: "ms=1000", Steps: []workflow.Step{step(1)}})
+		}
+		Eventually(c.workers[0].Running, shortTimeout).Should(Equal(jobs))
+		for n := range jobs {
+			Eventually(func() workflow.State { return c.recordedState(jobID(n)) }, 2*shortTimeout).Should(Equal(workflow.Cancelled))
+		}
+	})
+
 	It("stays completed if its end is recorded first, also without an answer", func() {
 		c := newCluster(1)
 		i := c.startInstance(nil)
--- a/controller/conflict.go
+++ b/controller/conflict.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"cmp"
 	"context"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -34,21 +36,18 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout.Duration())
 		defer cancel()
-		found := make([]recorded, len(b.jobs))
-		for i, j := range b.jobs {
-			var err error
-			if found[i], err = c.readRecorded(ctx, j.id, b.ends[i]); err != nil {
-				c.opts.Log.WithError(err).WithField("job", j.id).Info("controller: version not read")
-				c.post(func() {
-					c.runInTerm(term, func() {
-						c.afterRetryDelay(func() {
-							c.flushing = false
-							c.requeue(b)
-						})
+		found, err := c.readAllRecorded(ctx, b)
+		if err != nil {
+			c.opts.Log.WithError(err).WithField("jobs", len(b.jobs)).Info("controller: versions not read")
+			c.post(func() {
+				c.runInTerm(term, func() {
+					c.afterRetryDelay(func() {
+						c.flushing = false
+						c.requeue(b)
 					})
 				})
-				return
-			}
+			})
+			return
 		}
 		c.post(func() {
 			c.runInTerm(term, func() {
@@ -62,6 +61,19 @@
 	}()
 }
 
+// readAllRecorded reads what the store holds of the jobs of a batch, of all at the same time. The error is the
+// first one in the order of the jobs.
+func (c *Controller) readAllRecorded(ctx context.Context, b batch) ([]recorded, error) {
+	found := make([]recorded, len(b.jobs))
+	errs := make([]error, len(b.jobs))
+	var reads sync.WaitGroup
+	for i, j := range b.jobs {
+		reads.Go(func() { found[i], errs[i] = c.readRecorded(ctx, j.id, b.ends[i]) })
+	}
+	reads.Wait()
+	return found, cmp.Or(errs...)
+}
+
 // readRecorded reads the progress of a job and, if its end was to be recorded, whether it is cancelled. The
 // cancellation is read first: an end that was recorded before it is then seen.
 func (c *Controller) readRecorded(ctx context.Context, id string, ends bool) (recorded, error) {
