--- a/controller/controller.go
+++ b/controller/controller.go
@@ -86,7 +86,7 @@
 	// never read.
 	SinceStoreChange func() clock.Millis
 	// ShareEnds makes ends of jobs known that the store does not record. It must not block; nil
-	// means that callers are told of no end before it is recorded.
+	// means that ends are not shared.
 	ShareEnds func(term uint64, ends []board.End)
 	// Config returns the current configuration.
 	Config func() *site.Config
