controller: refuse polls in two specs only once the order is answered

Cause: a fault of the spec's set-up. It made polls fail before it submitted the job, and a poll is sent as soon as a run is planned, while the order waits until the placement is recorded. If the poll came first, the leader gave the worker, which had just refused a call, no order ("run not ordered; its worker stopped answering after the plan was made"), as it should; and the spec went on refusing polls for good.

"acknowledges no end of a new process in place of an earlier one's" has the same set-up.

The first poll now fails once the order has been answered, which is what the specs state.

--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -42,9 +42,12 @@
 	afterCommit  func(ops []kv.Op) error
 	// resumesAt is the time until which the instance is suspended.
 	resumesAt time.Time
-	// refuseRenewals makes all polls fail. commitAnswerDelay delays the answers to writes, as if the
-	// instance were suspended before it handles them.
-	refuseRenewals    bool
+	// refuseRenewals makes all polls fail. orderAnswered delays these failures until it is closed, when
+	// a worker has answered an order; nil delays nothing.
+	refuseRenewals bool
+	orderAnswered  chan struct{}
+	// commitAnswerDelay delays the answers to writes, as if the instance were suspended before it
+	// handles them.
 	commitAnswerDelay time.Duration
 }
 
@@ -151,6 +154,10 @@
 	verdict, workerClock, err := h.WorkerClient.Start(ctx, w, o)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.orderAnswered != nil {
+		close(h.orderAnswered)
+		h.orderAnswered = nil
+	}
 	if h.loseNextAnswer {
 		h.loseNextAnswer, h.refusedWorkers[w.ID] = false, true
 		return "", 0, errAnswerLost
@@ -161,13 +168,27 @@
 // errAnswerLost is the error of a call whose answer is lost.
 var errAnswerLost = errors.New("answer lost")
 
+// refuseRenewalsAfterOrder makes all polls fail, but none before a worker has answered the next order:
+// a worker that has refused a poll gets no order.
+func (h *hooks) refuseRenewalsAfterOrder() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refuseRenewals, h.orderAnswered = true, make(chan struct{})
+}
+
 func (h *hooks) Renew(ctx context.Context, w agent.Worker, r agent.Renewal) (agent.Report, error) {
 	if h.isMisdirected(w.ID) {
 		return agent.Report{}, agent.ErrReplaced
 	}
 	h.mu.Lock()
-	refuse := h.refuseRenewals
+	refuse, orderAnswered := h.refuseRenewals, h.orderAnswered
 	h.mu.Unlock()
+	if refuse && orderAnswered != nil {
+		select {
+		case <-orderAnswered:
+		case <-ctx.Done():
+		}
+	}
 	if refuse || h.isRefused(w.ID) {
 		return agent.Report{}, agent.ErrAbsent
 	}
--- a/controller/late_test.go
+++ b/controller/late_test.go
@@ -60,7 +60,7 @@
 		c, i, first := newLeader(shortLease)
 		Eventually(first.AckedEndNumber, shortTimeout).Should(Equal(1))
 		first.Restart()
-		i.set(func(h *hooks) { h.refuseRenewals = true })
+		i.refuseRenewalsAfterOrder()
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
 		Eventually(func() int { return first.Done(jobID(2) + ".0.0.0") }, shortTimeout).Should(Equal(1))
 		i.set(func(h *hooks) { h.refuseRenewals = false })
@@ -83,7 +83,7 @@
 		c, i, first := newLeader(shortLease)
 		time.Sleep(8 * time.Second) // the clock of the process that is known is ahead of the next one's
 		first.Restart()
-		i.set(func(h *hooks) { h.refuseRenewals = true })
+		i.refuseRenewalsAfterOrder()
 		i.submit(jobID(2), long)
 		Eventually(first.Running, shortTimeout, time.Millisecond).Should(Equal(1))
 		i.setRefused("i-0", true)
