controller: keep a run whose order may still be carried out late

Cause: the leader gave the run up when the lease that it had requested had lapsed on the clock of the earlier process. The order may reach another process, which grants the lease anew.

A run with an unanswered order now stays its task's run until 15 s, for which such orders are taken to be under way, and the longest lease have passed, or until the worker answers. Tasks that last are not held, since they have to be at work elsewhere within seconds.

--- a/controller/late_test.go
+++ b/controller/late_test.go
@@ -146,5 +146,21 @@
 		first.Restart()
 		first.Register("ready")
 		Consistently(c.overlaps, 8*time.Second).Should(BeEmpty())
+		// The last copy is sent within 2 s of the cut and may be late by 15 s; the run that it starts has a
+		// lease by a clock that is 3 % slow.
+		Eventually(c.workers[1].Running, 10*time.Second+shortLease.Duration()*103/100+time.Second).Should(Equal(1))
+		Expect(c.overlaps()).To(BeEmpty())
+	})
+
+	It("does not hold a task that lasts", func() {
+		c, i, first := newLeader(shortLease)
+		first.DelayStarts(2500*time.Millisecond, 1)
+		lasting := step(1)
+		lasting.UntilCancelled = true
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{lasting}})
+		time.Sleep(100 * time.Millisecond)
+		first.HangCalls(true)
+		c.addWorker("i-9")
+		Eventually(c.workers[1].Running, 6*time.Second).Should(Equal(1))
 	})
 })
--- a/controller/leases.go
+++ b/controller/leases.go
@@ -1,6 +1,11 @@
 package controller
 
-import "github.com/chestnutsail/chestnutsail/clock"
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/agent"
+	"github.com/chestnutsail/chestnutsail/clock"
+)
 
 const (
 	// maxRenewalSilence is the time without an answer after which a worker's lease is no
@@ -55,7 +60,35 @@
 	if n.clockReadAt == 0 {
 		// The previous leader may have renewed the lease until it noticed that its term was over.
 		lastRenewal := max(c.leadingSince+c.opts.LeaderTTL, n.clockLostAt)
-		return now-lastRenewal > clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag))+leaseExpiryMargin
+		return now-lastRenewal > c.longestLease()
 	}
 	return n.estimatedClock(now, 1-maxClockLag) > n.leasedUntil+leaseExpiryMargin
 }
+
+// longestLease returns the time in milliseconds after which a lease has certainly expired, whatever was
+// requested.
+func (c *Controller) longestLease() clock.Millis {
+	return clock.Millis(float64(c.opts.Limits().Lease)*(1+maxClockLag)) + leaseExpiryMargin
+}
+
+// expireRuns removes the runs of an unresponsive worker whose leases have expired. A run stays while a
+// late order may start it again.
+func (c *Controller) expireRuns(n *node, now clock.Millis) {
+	n.pollAnswered = false
+	expired := make([]*run, 0, len(n.runs))
+	for r := range n.runs {
+		if c.mayStartLate(r, now) {
+			c.holdRun(r, now)
+			continue
+		}
+		expired = append(expired, r)
+	}
+	if len(expired) == 0 && len(n.unknownRuns) == 0 {
+		return
+	}
+	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(expired), "leased": int64(n.leasedUntil), "silent_ms": int64(now - n.lastAnswer)}).Warn("controller: leases of an unresponsive worker have expired")
+	clear(n.unknownRuns)
+	for _, r := range expired {
+		c.removeRun(r, agent.LeaseExpired, leaseExpired, "")
+	}
+}
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -333,12 +333,7 @@
 // have expired, stops runs that can't finish on a draining worker, and polls the worker.
 func (c *Controller) checkNodeTimeouts(n *node, now clock.Millis) {
 	if (n.clockReadAt == 0 || n.tooSilent(now)) && (len(n.runs) > 0 || len(n.unknownRuns) > 0) && c.leasesExpired(n, now) {
-		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "leased": int64(n.leasedUntil), "silent_ms": int64(now - n.lastAnswer)}).Warn("controller: leases of an unresponsive worker have expired")
-		clear(n.unknownRuns)
-		for r := range n.runs {
-			c.removeRun(r, agent.LeaseExpired, leaseExpired, "")
-		}
-		n.pollAnswered = false
+		c.expireRuns(n, now)
 	}
 	n.dropOldStrayOrders(now)
 	if n.listed && n.worker.State == agent.Draining {
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -56,7 +56,7 @@
 	}
 	order.Lease = c.nextLease(r.node)
 	switch {
-	case order.Lease == 0 && r.orderUnanswered:
+	case order.Lease == 0 && r.orderUnanswered():
 		c.retryOrder(r, order)
 		return
 	case order.Lease == 0:
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -106,7 +106,7 @@
 	switch r.state {
 	case present, unconfirmed:
 		if sent > r.stateSince {
-			if r.orderUnanswered && r.ofEarlierProcess() {
+			if r.orderUnanswered() && r.ofEarlierProcess() {
 				c.stopRun(r, "its worker has started anew")
 				return
 			}
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -57,9 +57,11 @@
 	// earlier leader started it, so that its run time before firstSeen is not known.
 	resumed bool
 	adopted bool
-	// orderUnanswered reports whether an order was sent without an answer, so that the
-	// worker may still carry it out.
-	orderUnanswered bool
+	// unansweredAt is when the leader last noticed that a copy of the order got no answer, so that the
+	// worker may still carry it out; 0 if there is none. held reports whether the run was kept for that
+	// reason after its lease had expired.
+	unansweredAt clock.Millis
+	held         bool
 	// stopConfirmed is when the worker confirmed the request to stop the run; 0 before.
 	stopConfirmed clock.Millis
 }
@@ -89,6 +91,9 @@
 // worker than the one that answered last.
 func (r *run) ofEarlierProcess() bool { return r.workerStart != r.node.workerStart }
 
+// orderUnanswered reports whether a copy of the run's order was sent without an answer.
+func (r *run) orderUnanswered() bool { return r.unansweredAt != 0 }
+
 func (r *run) setState(s runState, now clock.Millis) { r.state, r.stateSince = s, now }
 
 // shape returns the resources that one task of a part uses on a worker. Filler tasks use
@@ -105,7 +110,7 @@
 func (c *Controller) onOrderAnswer(r *run, order agent.Order, verdict agent.Verdict, workerClock clock.Millis, err error) {
 	now := c.opts.Clock.Now()
 	if err != nil && !isRefusal(err) {
-		r.node.strayOrders[runKey{r.task.id(), r.number}] = now
+		r.node.strayOrders[runKey{r.task.id(), r.number}], r.unansweredAt = now, now
 	}
 	if r.task.run != r || r.state != ordered {
 		return
@@ -119,13 +124,13 @@
 		c.recordAnswer(r.node, workerClock, now)
 	}
 	switch {
-	case isRefusal(err) && !r.orderUnanswered:
+	case isRefusal(err) && !r.orderUnanswered():
 		// The order was not delivered. That doesn't prove that the worker's process has ended.
 		r.node.failing, r.node.refusing = true, true
 		c.opts.Log.WithError(err).WithFields(r.logFields()).Warn("controller: order not delivered")
 		c.removeRun(r, agent.Stopped, notDelivered, "")
 	case err != nil:
-		r.node.failing, r.orderUnanswered = true, true
+		r.node.failing = true
 		r.node.refusing = r.node.refusing || isRefusal(err)
 		c.opts.Log.WithError(err).WithFields(r.logFields()).Warn("controller: no answer to an order; it will be sent again")
 		c.retryOrder(r, order)
@@ -145,7 +150,7 @@
 		if verdict == agent.Full {
 			r.node.recordFull(now)
 		}
-		if r.orderUnanswered {
+		if r.orderUnanswered() {
 			// The worker may still carry out an earlier copy of the order, unless it is
 			// told to stop the run.
 			c.stopRun(r, "its order was rejected")
--- a/controller/stray.go
+++ b/controller/stray.go
@@ -32,6 +32,29 @@
 	return r != nil && r.number == key.run && r.node == n
 }
 
+// mayStartLate reports whether a copy of a run's order that got no answer may still be carried out by a
+// process of the worker that has not answered yet, or whether the run that it started may still be there:
+// such a process grants the lease anew. Tasks that last don't wait for that, since they have to be at work
+// elsewhere a few seconds after the worker has failed.
+func (c *Controller) mayStartLate(r *run, now clock.Millis) bool {
+	return r.orderUnanswered() && !r.task.part.step.UntilCancelled && now < c.lateUntil(r)
+}
+
+// lateUntil returns when a run that a late order started has ended at the latest.
+func (c *Controller) lateUntil(r *run) clock.Millis {
+	return r.unansweredAt + maxOrderDelay + c.longestLease()
+}
+
+// holdRun notes that a run is kept although its lease has expired.
+func (c *Controller) holdRun(r *run, now clock.Millis) {
+	if r.held {
+		return
+	}
+	r.held = true
+	c.opts.Counters.Counter("chestnutsail_runs_held_total").Inc()
+	c.opts.Log.WithFields(r.logFields()).WithField("for_ms", int64(c.lateUntil(r)-now)).Warn("controller: lease of a run has expired, but a late order may start it again")
+}
+
 // dropOldStrayOrders forgets the orders that are no longer taken to be under way.
 func (n *node) dropOldStrayOrders(now clock.Millis) {
 	for key, sent := range n.strayOrders {
