controller, platform: follow the reports of a draining worker

Cause: the time that the worker stays was taken once, from the first entry that was seen as draining. A new leader lists entries that may be as old as the interval between two reports, so it emptied the worker up to 1.5 s too late, and later reports were ignored.

Each report counts now, and a listed entry counts as old as the interval allows until the next report arrives.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,6 +61,8 @@
 	Stop clock.Millis
 	// Restore is the longest time that a run takes to resume from a checkpoint.
 	Restore clock.Millis
+	// ReportInterval is the time between two entries that a worker writes; 0 if it is not known.
+	ReportInterval clock.Millis
 	// Retention is how long the state of a finished job is kept; 0 keeps it forever.
 	Retention clock.Millis
 }
--- a/controller/draining.go
+++ b/controller/draining.go
@@ -1,12 +1,31 @@
 package controller
 
-import "github.com/chestnutsail/chestnutsail/clock"
+import (
+	"github.com/chestnutsail/chestnutsail/agent"
+	"github.com/chestnutsail/chestnutsail/clock"
+)
 
 // exitMargin is how much sooner a worker may exit than the leader reckons, or the stop may be
 // confirmed later, in milliseconds: the watch is late, the check waits for a tick, and calls take
 // their time.
 const exitMargin = workersWatchInterval + 2*tickPeriod
 
+// recordRemaining notes how long a draining worker stays at least, as its entry says, which was written at
+// most maxAge ago. An entry that has just been written replaces the assumption about an older one. Among
+// such entries the one that arrived with the shortest delay counts, since each tells the time that was left
+// when it was written.
+func (n *node) recordRemaining(remaining, now, maxAge clock.Millis) {
+	leavesAt := now + remaining
+	switch {
+	case n.worker.State != agent.Draining:
+		n.leavesAt, n.leavesAtAge = leavesAt-maxAge, maxAge
+	case maxAge == 0 && n.leavesAtAge > 0:
+		n.leavesAt, n.leavesAtAge = leavesAt, 0
+	default:
+		n.leavesAt = min(n.leavesAt, leavesAt)
+	}
+}
+
 // stopUnfinishableRuns stops the runs on a draining worker that can't finish before its earliest
 // exit: the sooner they are stopped, the less work is lost. Shortly before the earliest exit it stops
 // all that is left, so that the worker itself confirms that nothing runs there any more. Once the
--- a/controller/draining_test.go
+++ b/controller/draining_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -104,4 +105,38 @@
 		Entry("tasks that can't finish in time are restarted elsewhere", false, "12000", 4*time.Second, 2),
 		Entry("a gang that can finish in time stays", true, "2500", 4*time.Second, 1),
 	)
+
+	// Guards against tasks that last and are away until their leases have lapsed, because a new leader reckons
+	// with more time than a draining worker has left.
+	DescribeTable("empties a draining worker in time under a new leader",
+		func(reportInterval, stay time.Duration) {
+			c := newClusterWithLease(1, 10*clock.Second)
+			c.reportInterval = clock.Millis(reportInterval.Milliseconds())
+			earlier := c.startInstance(nil)
+			Eventually(earlier.isLeader, shortTimeout).Should(BeTrue())
+			work := workflow.Step{Count: 1, Accels: 1, Estimate: 100, UntilCancelled: true}
+			earlier.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{work}})
+			first := c.workers[0]
+			Eventually(first.Running, shortTimeout).Should(Equal(1))
+			c.addWorker("i-9")
+			drained := time.Now()
+			first.Drain(stay)
+			time.Sleep(reportInterval * 2 / 3)
+			earlier.election.Resign(context.Background())
+			later := c.startInstance(nil)
+			Eventually(later.isLeader, reportInterval/3).Should(BeTrue())
+			for report := reportInterval; report < stay; report += reportInterval {
+				time.Sleep(time.Until(drained.Add(report)))
+				first.Drain(stay - report)
+			}
+			time.Sleep(time.Until(drained.Add(stay)))
+			Expect(first.Running()).To(BeZero())
+			first.Close()
+			c.store.Delete(platform.WorkersPrefix + "i-0")
+			Eventually(c.workers[1].Running, time.Second).Should(Equal(1))
+			Expect(c.overlaps()).To(BeEmpty())
+		},
+		Entry("that hears of the worker again", 1500*time.Millisecond, 4*time.Second),
+		Entry("that is elected after the last report", 3*time.Second, 2900*time.Millisecond),
+	)
 })
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -33,6 +33,8 @@
 	workers       []*platformtest.Worker
 	instanceCount int
 	lease         clock.Millis
+	// reportInterval is the time between two entries of a worker; 0 means that it is not known.
+	reportInterval clock.Millis
 	// leaderTTL is how long an instance may go on believing that it leads; 0 means that it does not.
 	leaderTTL clock.Millis
 }
@@ -125,7 +127,7 @@
 		Store: i.hooks, Workers: i.hooks, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: func() *site.Config { return queues },
 		Limits: func() controller.Limits {
-			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond}
+			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, ReportInterval: c.reportInterval}
 		},
 		Clock: clk, Counters: counters.New(), Log: entry,
 	})
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -43,8 +43,10 @@
 	worker agent.Worker
 	// listed reports whether the store has an entry for the worker.
 	listed bool
-	// leavesAt is the earliest time at which a draining worker exits.
-	leavesAt clock.Millis
+	// leavesAt is the earliest time at which a draining worker exits. leavesAtAge is the greatest age, when
+	// it was read, of the entry that leavesAt rests on.
+	leavesAt    clock.Millis
+	leavesAtAge clock.Millis
 	// pollAnswered reports whether the worker has answered a poll in the current term,
 	// polling whether a poll is in flight.
 	pollAnswered bool
@@ -134,7 +136,7 @@
 	stillListed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		stillListed[e.Key[len(c.opts.Prefix):]] = true
-		c.updateNode(e)
+		c.updateNode(e, c.opts.Limits().ReportInterval)
 	}
 	c.forgetInvalidEntries(stillListed)
 	for id, n := range c.nodes {
@@ -161,14 +163,14 @@
 			}
 			continue
 		}
-		c.updateNode(e.Entry)
+		c.updateNode(e.Entry, 0)
 	}
 	c.dropUnusedNodes()
 	c.planNeeded = true
 }
 
-// updateNode handles a new or changed entry of a worker.
-func (c *Controller) updateNode(e kv.Entry) {
+// updateNode handles a new or changed entry of a worker, which was written at most maxAge ago.
+func (c *Controller) updateNode(e kv.Entry, maxAge clock.Millis) {
 	worker, err := c.opts.Decode(e.Key, e.Value)
 	if err != nil {
 		c.logInvalidEntry(e, err)
@@ -178,8 +180,8 @@
 	if n.mayBeReplaced(worker) {
 		c.forgetClock(n)
 	}
-	if worker.State == agent.Draining && n.worker.State != worker.State {
-		n.leavesAt = c.opts.Clock.Now() + worker.Remaining
+	if worker.State == agent.Draining {
+		n.recordRemaining(worker.Remaining, c.opts.Clock.Now(), maxAge)
 	}
 	if n.worker.State != worker.State && n.worker.State != "" {
 		c.opts.Log.WithFields(logrus.Fields{"worker": worker.ID, "state": string(worker.State), "remaining_ms": int64(worker.Remaining), "version": e.Version}).Info("controller: worker state changed")
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -257,7 +257,7 @@
 // limits returns the time limits currently in force, as the controller takes them.
 func (i *Instance) limits() controller.Limits {
 	b := i.bounds.Load()
-	return controller.Limits{Lease: b.MaxLease, Stop: b.StopTime, Restore: b.RestoreTime, Retention: b.Retention}
+	return controller.Limits{Lease: b.MaxLease, Stop: b.StopTime, Restore: b.RestoreTime, Retention: b.Retention, ReportInterval: b.ReportInterval}
 }
 
 // Reload applies changed settings. New bounds take effect at once. A change of an address needs a restart
