controller: send no order to a draining worker

Cause: an order without an answer was repeated until it got one, whatever the worker's state had become.

A draining worker now gets no order: a run that was not ordered yet is placed elsewhere, one with an unanswered order is stopped first, with its gang. The others of a gang would only wait for it.

--- a/controller/draining.go
+++ b/controller/draining.go
@@ -36,13 +36,18 @@
 		if !mayExit && (r.state != present || c.canFinishBeforeLeaving(r, now)) {
 			continue
 		}
-		if !r.task.part.step.Gang {
-			c.stopRun(r, "its worker drains")
-			continue
-		}
-		for _, member := range r.task.part.runs() {
-			c.stopRun(member, "a worker of its gang drains")
-		}
+		c.stopDrained(r)
+	}
+}
+
+// stopDrained stops a run on a draining worker, and the rest of its gang.
+func (c *Controller) stopDrained(r *run) {
+	if !r.task.part.step.Gang {
+		c.stopRun(r, "its worker drains")
+		return
+	}
+	for _, member := range r.task.part.runs() {
+		c.stopRun(member, "a worker of its gang drains")
 	}
 }
 
--- a/controller/draining_test.go
+++ b/controller/draining_test.go
@@ -106,6 +106,30 @@
 		Entry("a gang that can finish in time stays", true, "2500", 4*time.Second, 1),
 	)
 
+	// Guards against starts on a worker long after it has announced that it drains.
+	DescribeTable("sends a draining worker no copy of an order without an answer",
+		func(gang bool) {
+			c := newClusterWithLease(1, 10*clock.Second)
+			i := c.startInstance(nil)
+			Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+			i.completeJob(jobID(1))
+			first := c.workers[0]
+			first.HangCalls(true)
+			work := step(2)
+			work.Gang = gang
+			i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{work}})
+			c.addWorker("i-9")
+			time.Sleep(400 * time.Millisecond) // the first copies get no answer
+			first.Drain(time.Minute)
+			time.Sleep(600 * time.Millisecond) // the leader sees that the worker drains
+			first.HangCalls(false)
+			Eventually(c.workers[1].Running, shortTimeout).Should(Equal(2))
+			Expect(first.Starts()).To(HaveLen(1), "only the task of the first job")
+		},
+		Entry("of tasks", false),
+		Entry("of a gang", true),
+	)
+
 	// Guards against tasks that last and are away until their leases have lapsed, because a new leader reckons
 	// with more time than a draining worker has left.
 	DescribeTable("empties a draining worker in time under a new leader",
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -47,13 +47,24 @@
 }
 
 // sendDueOrder sends an order at the head of the queue. The lease is requested only now: what is known
-// of the worker may have changed while the order waited, and so may the leadership. If the lease must
-// not be renewed, a run that has not been ordered yet is removed; an order without an answer waits.
+// of the worker may have changed while the order waited, and so may the leadership. A worker that drains
+// gets no order, not even a copy of one without an answer. If the lease must not be renewed, a run that has
+// not been ordered yet is removed; an order without an answer waits.
 func (c *Controller) sendDueOrder(r *run, order agent.Order) {
 	if !c.leadershipConfirmed() {
 		c.retryOrder(r, order)
 		return
 	}
+	draining := r.node.worker.State == agent.Draining
+	if draining && r.orderUnanswered() {
+		c.stopDrained(r)
+		return
+	}
+	if draining {
+		c.opts.Log.WithFields(r.logFields()).Info("controller: run not ordered; its worker has begun to drain after the plan was made")
+		c.removeRun(r, agent.Stopped, notOrdered, "")
+		return
+	}
 	order.Lease = c.nextLease(r.node)
 	switch {
 	case order.Lease == 0 && r.orderUnanswered():
