election: let others go first after a lost lease

Cause: when others end the lease of a leader that has failed in their eyes, that leader was a candidate like them as soon as it noticed. It could be elected again, and the others had to find out once more that it fails.

An instance that has lost its lease now waits for half a TTL (500 ms) before it stands again, longer than the others draw their delays from.

--- a/election/election.go
+++ b/election/election.go
@@ -47,6 +47,9 @@
 	// maxJitter is the largest random delay of a candidate, so that not all candidates write
 	// the vacant key at the same time.
 	maxJitter = 120 * clock.Millisecond
+	// yieldsPerTTL is the number of times that a TTL holds the time for which an instance that has lost
+	// its lease lets others go first.
+	yieldsPerTTL = 2
 	// leaseMargin is the time before the lease ends at which the leader stops relying on it.
 	leaseMargin = 100 * clock.Millisecond
 )
@@ -79,6 +82,8 @@
 	vacant   atomic.Bool
 	resigned atomic.Bool
 	wake     chan struct{}
+	// yieldUntil is the time until which this instance lets others go first. Only run uses it.
+	yieldUntil clock.Millis
 
 	mu    sync.Mutex
 	term  uint64
@@ -175,6 +180,8 @@
 	for ctx.Err() == nil {
 		if e.isLeader() {
 			e.lead(ctx)
+			// Others may have ended the lease because this instance has failed in their eyes.
+			e.yieldUntil = e.opts.Clock.Now() + e.opts.TTL/yieldsPerTTL
 			continue
 		}
 		select {
@@ -182,7 +189,8 @@
 			return
 		case <-e.wake:
 		}
-		if !clock.Sleep(ctx, e.opts.Delay()+rand.N(maxJitter)) || !e.vacant.Load() {
+		delay := max(e.opts.Delay(), e.yieldUntil-e.opts.Clock.Now()) + rand.N(maxJitter)
+		if !clock.Sleep(ctx, delay) || !e.vacant.Load() {
 			continue
 		}
 		if err := e.campaign(ctx); err != nil && ctx.Err() == nil {
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -98,6 +98,7 @@
 		b.Observe(true)
 		Eventually(holdsLease(b), time.Second).Should(BeTrue())
 		Eventually(a.lost.Load, time.Second).Should(BeEquivalentTo(1))
+		Expect(a.elected.Load()).To(BeEquivalentTo(1))
 	})
 
 	// Guards against a leader that loses the leadership because it waits for the answer to one renewal.
