controller, platformtest: count from the last answer in the spec of a silent domain

Cause: a fault of the spec. It submits work 2.7 s after the workers have fallen silent, and takes their last answers, to polls that were waiting, to come within 1 s. The next answer is due 1 s later, and counts as overdue after 0.3 s more. On a starved machine the last answers came after 1.5 s, so that the domain was rightly flagged 1.27 s after them, 0.1 s after the placement.

The spec now also waits until the last answer was 1.7 s ago, which is what the 2.7 s stood for; alone it takes as long as before.

--- a/controller/unreachable_test.go
+++ b/controller/unreachable_test.go
@@ -117,6 +117,10 @@
 			x.HangCalls(true)
 		}
 		time.Sleep(2700 * time.Millisecond) // the answers to polls are due after 2 s
+		// An answer to a poll that was waiting may have been late. The next one is due after 1 s.
+		for _, x := range unreachable {
+			Eventually(func() time.Duration { return time.Since(x.AnsweredAt()) }, shortTimeout).Should(BeNumerically(">", 1700*time.Millisecond))
+		}
 		// The unreachable workers have less free room, so the planner would prefer them.
 		fits := step(4)
 		fits.Accels = 7
