--- a/planner/overdue_test.go
+++ b/planner/overdue_test.go
@@ -80,23 +80,18 @@
 		})).To(Equal(1))
 	})
 
-	It("is not started on nodes in quarantine if its next failure fails the job", func() {
-		Expect(plan(clock.Hour, func(in *planner.Input) {
-			in.Units[0].LastAttempt = true
-			for n := range in.Nodes {
-				in.Nodes[n].Quarantined = n > 3
-			}
-		})).To(BeZero())
-	})
-
-	It("is not started on nodes that have recently failed tasks if its next failure fails the job", func() {
-		Expect(plan(clock.Hour, func(in *planner.Input) {
-			in.Units[0].LastAttempt = true
-			for n := range in.Nodes {
-				in.Nodes[n].Suspect = n > 3
-			}
-		})).To(BeZero())
-	})
+	DescribeTable("is not started if its next failure fails the job, on nodes that",
+		func(fail func(node *planner.Node)) {
+			Expect(plan(clock.Hour, func(in *planner.Input) {
+				in.Units[0].LastAttempt = true
+				for n := 4; n < len(in.Nodes); n++ {
+					fail(&in.Nodes[n])
+				}
+			})).To(BeZero())
+		},
+		Entry("have recently failed tasks", func(node *planner.Node) { node.Suspect = true }),
+		Entry("are in quarantine", func(node *planner.Node) { node.Quarantined = true }),
+	)
 
 	DescribeTable("is started however full the service is, if it runs until its job is cancelled, and was waiting for",
 		func(change func(in *planner.Input)) {
