--- a/controller/orders.go
+++ b/controller/orders.go
@@ -55,14 +55,12 @@
 		c.retryOrder(r, order)
 		return
 	}
-	draining := r.node.worker.State == agent.Draining
-	if draining && r.orderUnanswered() {
-		c.stopDrained(r)
-		return
-	}
-	if draining {
-		c.opts.Log.WithFields(r.logFields()).Info("controller: run not ordered; its worker has begun to drain after the plan was made")
-		c.removeRun(r, agent.Stopped, notOrdered, "")
+	if r.node.worker.State == agent.Draining {
+		if r.orderUnanswered() {
+			c.stopDrained(r)
+		} else {
+			c.removeUnordered(r, "its worker has begun to drain after the plan was made")
+		}
 		return
 	}
 	order.Lease = c.nextLease(r.node)
@@ -71,8 +69,7 @@
 		c.retryOrder(r, order)
 		return
 	case order.Lease == 0:
-		c.opts.Log.WithFields(r.logFields()).Info("controller: run not ordered; its worker stopped answering after the plan was made")
-		c.removeRun(r, agent.LeaseExpired, notOrdered, "")
+		c.removeUnordered(r, "its worker stopped answering after the plan was made")
 		return
 	}
 	if c.firstOrderPending {
@@ -82,6 +79,12 @@
 	c.sendOrder(r, order)
 }
 
+// removeUnordered removes a run whose order has never been sent. The reason is the value of a log field.
+func (c *Controller) removeUnordered(r *run, reason string) {
+	c.opts.Log.WithFields(r.logFields()).WithField("reason", reason).Info("controller: run not ordered")
+	c.removeRun(r, agent.Stopped, notOrdered, "")
+}
+
 // sendQueuedOrders sends queued orders while fewer than maxOrdersInFlight are in flight.
 func (c *Controller) sendQueuedOrders() {
 	for len(c.queuedOrders) > 0 && c.ordersInFlight < maxOrdersInFlight {
