--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -53,9 +53,10 @@
 	return n.Usable && n.Service == u.Service && (u.Label == "" || slices.Contains(n.Labels, u.Label))
 }
 
-// unhealthyFor reports whether a node was slow or had task failures too recently for a unit.
+// unhealthyFor reports whether a node is in quarantine, or was slow or had task failures too recently for a
+// unit.
 func (n *Node) unhealthyFor(u *Unit) bool {
-	return (n.Suspect || n.Slow) && (u.LastAttempt || u.Gang)
+	return n.Quarantined || ((n.Suspect || n.Slow) && (u.LastAttempt || u.Gang))
 }
 
 // freeSlots returns how many tasks of a unit fit into the free resources, by the obstacle that keeps
--- a/planner/place.go
+++ b/planner/place.go
@@ -22,7 +22,7 @@
 		}
 		missing := p.requiredTasks(u)
 		for n := range p.Nodes {
-			if node := &p.Nodes[n]; !u.Avoid[n] && !node.Quarantined && node.suits(u) && !node.unhealthyFor(u) {
+			if node := &p.Nodes[n]; !u.Avoid[n] && node.suits(u) && !node.unhealthyFor(u) {
 				missing -= p.slots(u, n, node.Capacity)
 			}
 		}
