--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -97,44 +97,34 @@
 	return h.Store.ListPage(ctx, prefix, after)
 }
 
-func (h *hooks) setRefused(id string, refused bool) {
+// mark adds a worker to one of the sets, or removes it.
+func (h *hooks) mark(set map[string]bool, id string, member bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.refusedWorkers[id] = refused
+	set[id] = member
 }
 
-func (h *hooks) isRefused(id string) bool {
+// isMarked reports whether a worker is in one of the sets.
+func (h *hooks) isMarked(set map[string]bool, id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.refusedWorkers[id]
+	return set[id]
 }
 
-func (h *hooks) setFull(id string, full bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.fullWorkers[id] = full
-}
+func (h *hooks) setRefused(id string, refused bool) { h.mark(h.refusedWorkers, id, refused) }
 
-func (h *hooks) isFull(id string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.fullWorkers[id]
-}
+func (h *hooks) isRefused(id string) bool { return h.isMarked(h.refusedWorkers, id) }
+
+func (h *hooks) setFull(id string, full bool) { h.mark(h.fullWorkers, id, full) }
+
+func (h *hooks) isFull(id string) bool { return h.isMarked(h.fullWorkers, id) }
 
 func (h *hooks) setMisdirected(id string) { h.misdirect(id, true) }
 
 // misdirect sets whether another instance answers at a worker's address.
-func (h *hooks) misdirect(id string, misdirected bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.misdirectedWorkers[id] = misdirected
-}
+func (h *hooks) misdirect(id string, misdirected bool) { h.mark(h.misdirectedWorkers, id, misdirected) }
 
-func (h *hooks) isMisdirected(id string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.misdirectedWorkers[id]
-}
+func (h *hooks) isMisdirected(id string) bool { return h.isMarked(h.misdirectedWorkers, id) }
 
 func (h *hooks) Start(ctx context.Context, w agent.Worker, o agent.Order) (agent.Verdict, clock.Millis, error) {
 	if h.isMisdirected(w.ID) {
