controller, platform: list the hosts while a worker with runs is silent

The platform lists its machines with the ID of the worker that runs on each, and a worker is one life of a machine. The leader reads that list at most every 0.4 s while a worker on which it expects runs does not answer, and logs and counts what the list tells (chestnutsail_silent_workers_total, chestnutsail_host_lists_total). Nothing is decided by it yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -181,6 +181,15 @@
 	StartedAt clock.Millis
 	// Remaining is the shortest time in milliseconds until a draining worker may shut down.
 	Remaining clock.Millis
+	// Host is the name of the host that the worker runs on; "" if the worker does not report it.
+	Host string
+}
+
+// Host is an entry of the platform's list of the hosts on which workers run. Worker is the ID of the worker
+// that runs there; "" means that none does.
+type Host struct {
+	Name   string
+	Worker string
 }
 
 // Errors of a call that did not reach the addressed worker instance. They don't prove that the
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -71,7 +71,9 @@
 type Options struct {
 	Store   Store
 	Workers Workers
-	Board   *board.Board
+	// Hosts lists the workers' hosts; nil means that there is no such list.
+	Hosts Hosts
+	Board *board.Board
 	// Prefix is the prefix of the store's keys of workers. Decode decodes their values.
 	Prefix string
 	Decode func(key string, raw []byte) (agent.Worker, error)
@@ -157,6 +159,9 @@
 	runTimes *estimate.Estimator[string]
 	// readingNotices is set while notices are being read from the store.
 	readingNotices bool
+	// listingHosts is set while the hosts are being listed; nextHostList is the earliest time of the next list.
+	listingHosts bool
+	nextHostList clock.Millis
 	// queuedOrders holds functions that each send one order; ordersInFlight is the number
 	// of orders that are being sent.
 	queuedOrders   []func()
@@ -281,10 +286,6 @@
 	})
 }
 
-// workersWatchInterval is the minimum time in milliseconds between two answers of the watch
-// of the workers' keys.
-const workersWatchInterval = 250 * clock.Millisecond
-
 // RetriesMetric returns the name of the metric that counts the calls retried for a reason.
 func RetriesMetric(reason string) string {
 	return `chestnutsail_retries_total{reason="` + reason + `"}`
@@ -310,7 +311,7 @@
 	}
 	c.opts.Log.WithField("term", c.term).Info("controller: no longer leading")
 	// Calls in flight are not cancelled. Their results are ignored because the term is over.
-	c.term, c.jobsLoaded, c.workersListed, c.flushing, c.planNeeded, c.readingNotices = 0, false, false, false, false, false
+	c.term, c.jobsLoaded, c.workersListed, c.flushing, c.planNeeded, c.readingNotices, c.listingHosts = 0, false, false, false, false, false, false
 	c.jobs, c.nodes, c.dirty, c.workersMirror, c.queuedOrders, c.ordersInFlight = nil, nil, nil, nil, nil, 0
 }
 
@@ -387,6 +388,7 @@
 	for _, n := range c.nodes {
 		c.checkNodeTimeouts(n, now)
 	}
+	c.listHosts(now)
 	c.recordJobStarts(now)
 	c.shareUnrecordedEnds(now)
 	c.deleteExpiredJobs(now)
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -29,8 +29,10 @@
 
 // cluster is a stand-in store with stand-in workers, against which instances run.
 type cluster struct {
-	store         *platformtest.Store
-	workers       []*platformtest.Worker
+	store   *platformtest.Store
+	workers []*platformtest.Worker
+	// hosts is the list of the workers' hosts; nil means that there is none.
+	hosts         *platformtest.Hosts
 	instanceCount int
 	lease         clock.Millis
 	// reportInterval is the time between two entries of a worker; 0 means that it is not known.
@@ -54,6 +56,15 @@
 
 func (c *cluster) addWorker(id string) { c.addWorkerIn("", "", id) }
 
+// listHosts makes the cluster list the hosts of its workers, also of those that are added later.
+func (c *cluster) listHosts() {
+	c.hosts = platformtest.NewHosts()
+	DeferCleanup(c.hosts.Close)
+	for _, x := range c.workers {
+		c.hosts.Set("m-"+x.ID(), x.ID())
+	}
+}
+
 // addWorkerIn adds a worker in a failure domain and a rack; "" means the stand-in's default.
 func (c *cluster) addWorkerIn(domain, rack, id string) {
 	c.startWorker(platformtest.WorkerOptions{ID: id, Domain: domain, Rack: rack})
@@ -64,6 +75,9 @@
 	opts.Store, opts.Lease = c.store, c.lease.Duration()
 	x := platformtest.NewWorker(opts)
 	DeferCleanup(x.Close)
+	if c.hosts != nil {
+		c.hosts.Set("m-"+opts.ID, opts.ID)
+	}
 	c.workers = append(c.workers, x)
 }
 
@@ -123,8 +137,12 @@
 		Store: i.Store, Key: board.LeaderKey, Name: fmt.Sprint("e", c.instanceCount), TTL: clock.Second, Clock: clk, Log: entry,
 		OnElected: func(term uint64) { i.runner.StartLeading(term) }, OnLost: func() { i.runner.StopLeading() },
 	})
+	var hosts controller.Hosts
+	if c.hosts != nil {
+		hosts = platform.NewHostClient(c.hosts.Address())
+	}
 	i.runner = controller.New(controller.Options{
-		Store: i.hooks, Workers: i.hooks, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
+		Store: i.hooks, Workers: i.hooks, Hosts: hosts, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: func() *site.Config { return queues },
 		Limits: func() controller.Limits {
 			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, ReportInterval: c.reportInterval}
--- /dev/null
+++ b/controller/hosts.go
@@ -0,0 +1,124 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutsail/chestnutsail/agent"
+	"github.com/chestnutsail/chestnutsail/clock"
+)
+
+// Hosts reads the platform's list of the hosts on which workers run.
+type Hosts interface {
+	List(ctx context.Context) ([]agent.Host, error)
+}
+
+const (
+	// hostListInterval is the minimum time in milliseconds between two lists of the hosts.
+	hostListInterval = 400 * clock.Millisecond
+	// hostListTimeout is the timeout of a list.
+	hostListTimeout = clock.Second
+	// overdueTime is how long in milliseconds an answer to a poll may be overdue before the worker counts as
+	// silent.
+	overdueTime = 300 * clock.Millisecond
+	// absentLists is the number of lists in a row without a worker after which it counts as ended although
+	// its host is not known: the pages of a list are not a snapshot.
+	absentLists = 2
+)
+
+// fate is what a list of the hosts tells of a worker.
+type fate string
+
+const (
+	// alive workers run on a host.
+	alive fate = "alive"
+	// absent workers are on no host of the list, and neither is the host that they ran on.
+	absent fate = "absent"
+	// down workers have ended, and nothing else runs on their host. They may start again under their ID.
+	down fate = "down"
+	// replaced workers have ended for good: another worker runs on their host.
+	replaced fate = "replaced"
+)
+
+// fateOf returns what a list of the hosts tells of a worker.
+func fateOf(w agent.Worker, id string, hosts []agent.Host) fate {
+	found := absent
+	for _, h := range hosts {
+		switch {
+		case h.Worker == id:
+			return alive
+		case w.Host == "" || h.Name != w.Host:
+		case h.Worker == "":
+			found = down
+		default:
+			found = replaced
+		}
+	}
+	return found
+}
+
+// listHosts lists the hosts while a worker with runs is silent, since a worker that has ended can't say so.
+func (c *Controller) listHosts(now clock.Millis) {
+	if c.opts.Hosts == nil || c.listingHosts || now < c.nextHostList || !c.hasSilentWorker(now) {
+		return
+	}
+	c.listingHosts, c.nextHostList = true, now+hostListInterval
+	term := c.term
+	c.opts.Counters.Counter("chestnutsail_host_lists_total").Inc()
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, hostListTimeout.Duration())
+		defer cancel()
+		hosts, err := c.opts.Hosts.List(ctx)
+		c.post(func() {
+			c.runInTerm(term, func() {
+				c.listingHosts = false
+				if err != nil {
+					c.countRetry("hosts")
+					c.opts.Log.WithError(err).Warn("controller: hosts not listed")
+					return
+				}
+				c.onHostsListed(hosts, now)
+			})
+		})
+	}()
+}
+
+func (c *Controller) hasSilentWorker(now clock.Millis) bool {
+	for _, n := range c.nodes {
+		if n.isSilent(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// isSilent reports whether a worker on which runs are expected does not answer.
+func (n *node) isSilent(now clock.Millis) bool {
+	if len(n.runs) == 0 && len(n.unknownRuns) == 0 {
+		return false
+	}
+	return n.failing || n.worker.Address == "" || (n.polling && now > n.pollDue+overdueTime)
+}
+
+// onHostsListed handles a list of the hosts that was requested at the time sent.
+func (c *Controller) onHostsListed(hosts []agent.Host, sent clock.Millis) {
+	for _, n := range c.nodes {
+		if !n.isSilent(sent) || n.lastAnswer >= sent {
+			n.fate, n.absences = "", 0
+			continue
+		}
+		f := fateOf(n.worker, n.id, hosts)
+		if f == absent {
+			n.absences++
+		} else {
+			n.absences = 0
+		}
+		if f == n.fate {
+			continue
+		}
+		n.fate = f
+		c.opts.Counters.Counter(`chestnutsail_silent_workers_total{fate="` + string(f) + `"}`).Inc()
+		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "fate": string(f), "runs": len(n.runs), "silent_ms": int64(sent - n.lastAnswer), "listed": n.listed}).Info("controller: list of hosts tells of a silent worker")
+	}
+}
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -107,8 +107,16 @@
 	speed speed.Mean
 	// slowUntil is the time until which the worker counts as far slower than others.
 	slowUntil clock.Millis
+	// fate is what the last list of the hosts told of the worker while it was silent, and absences the number
+	// of such lists in a row in which it was absent.
+	fate     fate
+	absences int
 }
 
+// workersWatchInterval is the minimum time in milliseconds between two answers of the watch
+// of the workers' keys.
+const workersWatchInterval = 250 * clock.Millisecond
+
 // unackedEnd is a handled end of a run. It is acknowledged to the worker once the change that it
 // made to the job is recorded.
 type unackedEnd struct {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -213,8 +213,12 @@
 			i.counters.Counter(`chestnutsail_ends_shared_total{outcome="` + string(o) + `"}`).Inc()
 		},
 	})
+	var hosts controller.Hosts
+	if s.HostsAddress != "" {
+		hosts = platform.NewHostClient(s.HostsAddress)
+	}
 	jobController = controller.New(controller.Options{
-		Store: store, Workers: platform.NewWorkerClient(), Board: i.board, PageTimeout: pageTimeout(s),
+		Store: store, Workers: platform.NewWorkerClient(), Hosts: hosts, Board: i.board, PageTimeout: pageTimeout(s),
 		Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.election.Term, Config: i.config.Load, SinceStoreChange: func() clock.Millis { return i.jobMirror.SinceChange() },
 		Limits: i.limits, LeaderTTL: election.DefaultTTL, ShareEnds: i.witness.Share,
