controller: give up the runs of a worker that the list of hosts tells to have ended

Cause: a worker that had crashed behind a cut, or had been taken away, was waited for like one that is cut off and may still run. Its runs waited for their lease (6.5 s with leases of 6 s, 7.5 s from the election of a new leader), and those with an unanswered order for 15 s more. The wait ended by a fixed time, although the platform knew that the worker had ended.

A worker is one life of a machine, and the list of machines names the worker on each. If nothing runs on the machine, the worker may start again under its ID, so a run with an unanswered order stays until that order is no longer taken to be under way, and a run of which only an earlier leader knows until its lease has lapsed. A worker that is cut off is listed, and nothing changes for it; neither if the list can't be read.

--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -22,6 +22,8 @@
 	endReported evidence = "its worker reported the end"
 	// notReported means that the worker does not report the run as present any more.
 	notReported evidence = "its worker does not report it"
+	// workerEnded means that the worker has ended, as the list of the hosts tells.
+	workerEnded evidence = "its worker has ended"
 	// leaseExpired means that the lease has expired by the slowest clock that a worker may have.
 	leaseExpired evidence = "its lease has expired"
 )
--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -114,11 +114,38 @@
 		} else {
 			n.absences = 0
 		}
-		if f == n.fate {
-			continue
+		if f != n.fate {
+			n.fate = f
+			c.opts.Counters.Counter(`chestnutsail_silent_workers_total{fate="` + string(f) + `"}`).Inc()
+			c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "fate": string(f), "runs": len(n.runs), "silent_ms": int64(sent - n.lastAnswer), "listed": n.listed}).Info("controller: list of hosts tells of a silent worker")
+		}
+		switch {
+		case f == replaced, f == absent && n.absences >= absentLists:
+			c.removeEndedRuns(n, func(*run) bool { return true })
+			clear(n.unknownRuns)
+			clear(n.strayOrders)
+		case f == down:
+			c.removeEndedRuns(n, func(r *run) bool { return r.endedWithWorker(sent) })
+		}
+	}
+}
+
+// endedWithWorker reports whether a run whose worker has ended can't begin again: a worker that starts again
+// under its ID would carry out a copy of the order that is still under way. Of inherited runs it is not known
+// whether there is one.
+func (r *run) endedWithWorker(now clock.Millis) bool {
+	if r.orderUnanswered() {
+		return now > r.unansweredAt+maxOrderDelay
+	}
+	return r.firstSeen != 0
+}
+
+// removeEndedRuns removes the runs of a worker that has ended, if they have certainly ended with it.
+func (c *Controller) removeEndedRuns(n *node, hasEnded func(*run) bool) {
+	n.failing = true
+	for r := range n.runs {
+		if hasEnded(r) {
+			c.removeRun(r, agent.LeaseExpired, workerEnded, "")
 		}
-		n.fate = f
-		c.opts.Counters.Counter(`chestnutsail_silent_workers_total{fate="` + string(f) + `"}`).Inc()
-		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "fate": string(f), "runs": len(n.runs), "silent_ms": int64(sent - n.lastAnswer), "listed": n.listed}).Info("controller: list of hosts tells of a silent worker")
 	}
 }
