platform, controller: tell orders that were never sent from those without an answer

Cause: a call whose connection was not opened in time counted as one without an answer, which may be carried out late. Of the copies of an order to a worker that has just been cut off, the first goes out on an open connection and the others need new ones, so each of them began the 15 s anew; an order to a worker without an open connection was kept for 15 s and a lease although nothing had been sent.

Such an order is tried again for 1.5 s, then its task is placed elsewhere.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -195,6 +195,8 @@
 // Errors of a call that did not reach the addressed worker instance. They don't prove that the
 // instance has ended: what lies on the path may refuse connections or answer in its place.
 var (
+	// ErrNotSent means that no connection to the worker was opened in time, so that nothing was sent.
+	ErrNotSent = errors.New("agent: no connection to the worker was opened in time")
 	// ErrAbsent means that the connection to the worker's address was refused.
 	ErrAbsent = errors.New("agent: connection to the worker's address refused")
 	// ErrReplaced means that another worker instance answers at the address.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -40,7 +40,7 @@
 	List(ctx context.Context, prefix string) ([]kv.Entry, uint64, error)
 }
 
-// Workers sends requests to workers. After an error other than agent.ErrAbsent and
+// Workers sends requests to workers. After an error other than agent.ErrAbsent, agent.ErrNotSent and
 // agent.ErrReplaced, the worker may have carried the request out.
 //
 // Start orders a run to start and returns the worker's verdict and clock. Stop stops a run and
--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -29,6 +29,8 @@
 	fullWorkers map[string]bool
 	// misdirectedWorkers holds the IDs of the workers at whose address another instance answers.
 	misdirectedWorkers map[string]bool
+	// unreachableWorkers holds the IDs of the workers to which no connection is opened.
+	unreachableWorkers map[string]bool
 	// loseNextAnswer discards the worker's answer to the next Start and then refuses all calls
 	// to this worker.
 	loseNextAnswer bool
@@ -130,6 +132,9 @@
 	if h.isMisdirected(w.ID) {
 		return "", 0, agent.ErrReplaced
 	}
+	if err := h.awaitConnection(ctx, w.ID); err != nil {
+		return "", 0, err
+	}
 	if h.isRefused(w.ID) {
 		return "", 0, agent.ErrAbsent
 	}
@@ -166,7 +171,23 @@
 	h.refuseRenewals, h.orderAnswered = true, make(chan struct{})
 }
 
+func (h *hooks) setUnreachable(id string, unreachable bool) {
+	h.mark(h.unreachableWorkers, id, unreachable)
+}
+
+// awaitConnection waits for a connection to a worker, in vain if the worker is unreachable.
+func (h *hooks) awaitConnection(ctx context.Context, id string) error {
+	if !h.isMarked(h.unreachableWorkers, id) {
+		return nil
+	}
+	<-ctx.Done()
+	return agent.ErrNotSent
+}
+
 func (h *hooks) Renew(ctx context.Context, w agent.Worker, r agent.Renewal) (agent.Report, error) {
+	if err := h.awaitConnection(ctx, w.ID); err != nil {
+		return agent.Report{}, err
+	}
 	if h.isMisdirected(w.ID) {
 		return agent.Report{}, agent.ErrReplaced
 	}
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -49,7 +49,8 @@
 // sendDueOrder sends an order at the head of the queue. The lease is requested only now: what is known
 // of the worker may have changed while the order waited, and so may the leadership. A worker that drains
 // gets no order, not even a copy of one without an answer. If the lease must not be renewed, a run that has
-// not been ordered yet is removed; an order without an answer waits.
+// not been ordered yet is removed, an order that could not be sent waits for maxRenewalSilence at most, and one
+// without an answer waits.
 func (c *Controller) sendDueOrder(r *run, order agent.Order) {
 	if !c.leadershipConfirmed() {
 		c.retryOrder(r, order)
@@ -65,7 +66,7 @@
 	}
 	order.Lease = c.nextLease(r.node)
 	switch {
-	case order.Lease == 0 && r.orderUnanswered():
+	case order.Lease == 0 && (r.orderUnanswered() || r.waitsForConnection(c.opts.Clock.Now())):
 		c.retryOrder(r, order)
 		return
 	case order.Lease == 0:
@@ -79,6 +80,11 @@
 	c.sendOrder(r, order)
 }
 
+// waitsForConnection reports whether an order that could not be sent yet is still to be sent.
+func (r *run) waitsForConnection(now clock.Millis) bool {
+	return r.unsentSince != 0 && now-r.unsentSince <= maxRenewalSilence
+}
+
 // removeUnordered removes a run whose order has never been sent. The reason is the value of a log field.
 func (c *Controller) removeUnordered(r *run, reason string) {
 	c.opts.Log.WithFields(r.logFields()).WithField("reason", reason).Info("controller: run not ordered")
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/sirupsen/logrus"
 
@@ -62,6 +63,9 @@
 	// reason after its lease had expired.
 	unansweredAt clock.Millis
 	held         bool
+	// unsentSince is when the leader first noticed that a copy of the order could not be sent, as no connection
+	// was opened; 0 before.
+	unsentSince clock.Millis
 	// stopConfirmed is when the worker confirmed the request to stop the run; 0 before.
 	stopConfirmed clock.Millis
 }
@@ -109,8 +113,12 @@
 // onOrderAnswer handles the answer to an order, or its failure.
 func (c *Controller) onOrderAnswer(r *run, order agent.Order, verdict agent.Verdict, workerClock clock.Millis, err error) {
 	now := c.opts.Clock.Now()
-	if err != nil && !isRefusal(err) {
+	switch {
+	case err == nil || isRefusal(err):
+	case !errors.Is(err, agent.ErrNotSent):
 		r.node.strayOrders[runKey{r.task.id(), r.number}], r.unansweredAt = now, now
+	case r.unsentSince == 0:
+		r.unsentSince = now
 	}
 	if r.task.run != r || r.state != ordered {
 		return
--- a/controller/unreachable_test.go
+++ b/controller/unreachable_test.go
@@ -50,6 +50,19 @@
 		Eventually(c.workers[1].Running, lease.Duration()*3/100+1800*time.Millisecond).Should(Equal(1))
 	})
 
+	It("do not keep a task waiting whose order was never sent to them", func() {
+		c := newClusterWithLease(1, 10*clock.Second)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.completeJob(jobID(1))
+		i.setUnreachable("i-0", true)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		time.Sleep(500 * time.Millisecond) // copies of the order can't be sent
+		c.addWorker("i-9")
+		Eventually(c.workers[1].Running, maxIdle).Should(Equal(1))
+		Expect(c.starts(jobID(2) + ".0.0.0")).To(HaveLen(1))
+	})
+
 	It("that have exited have their lasting tasks at work elsewhere within 9 s, however long their leases are", func() {
 		c := newClusterWithLease(1, 10*clock.Second)
 		i := c.startInstance(nil)
