controller, workflow: count a failed run of a gang once under a new leader, too

Cause: which run of a gang failed last was kept in the memory of the leader, the number of failures in the store. If two members of one run end as failed and the leader changes between the two reports, the next leader counts the second one as another failed run.

The number of the run is now recorded beside the failures. Records without it are read as before.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -162,6 +162,7 @@
 	if p.step.Gang && p.doneTasks > 0 {
 		p.markAllDone()
 	}
+	p.lastFailedRun = recorded.FailedRun
 	for _, r := range recorded.Tasks {
 		if r.Index < len(p.tasks) {
 			t := p.tasks[r.Index]
@@ -213,7 +214,7 @@
 }
 
 func (p *part) encode() (workflow.StepProgress, bool) {
-	out := workflow.StepProgress{Occurrence: p.occurrence, Step: p.index, AllDone: p.doneTasks == len(p.tasks)}
+	out := workflow.StepProgress{Occurrence: p.occurrence, Step: p.index, AllDone: p.doneTasks == len(p.tasks), FailedRun: p.lastFailedRun}
 	if out.AllDone {
 		out.RunTime = p.measured.mean()
 	}
--- a/workflow/progress.go
+++ b/workflow/progress.go
@@ -55,6 +55,9 @@
 	Done    []int          `cbor:"d,omitempty"`
 	Tasks   []TaskProgress `cbor:"t,omitempty"`
 	Places  []PlacedRun    `cbor:"p,omitempty"`
+	// FailedRun is the number of the last run of a gang that failed; 0 if none did. Further members of that
+	// run may end as failed after it.
+	FailedRun int `cbor:"f,omitempty"`
 	// RunTime is the mean time in milliseconds that the tasks ran on a worker of usual speed; 0
 	// if AllDone is not set or it was not measured.
 	RunTime clock.Millis `cbor:"r,omitempty"`
