fleet: answer the requests on open connections of an instance that shuts down

Cause: net/http drops a request that it reads once Shutdown has been called.

A server now closes its listener and the idle connections first and serves what is open until it is closed, or until 1 s is left of the time for the shutdown. Shutdown comes last.

Evidence: the spec "answers a request on a connection that is open" failed 0.2 s and 2.1 s after the listener is closed, and passes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,7 +102,7 @@
 	election      *election.Election
 	storeHealth   *health.Monitor
 	intakeHandler *intake.Handler
-	servers       []*http.Server
+	servers       []*server
 	stopping      atomic.Bool
 }
 
@@ -344,21 +344,6 @@
 	i.counters.Histogram(`chestnutsail_call_seconds{verb="` + verb + `"}`).Update(float64(took) / float64(clock.Second))
 }
 
-func (i *Instance) listenAndServe(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration()}
-	i.servers = append(i.servers, server)
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			i.opts.Log.WithError(err).WithField("address", address).Error("fleet: HTTP server failed")
-		}
-	}()
-	return nil
-}
-
 // Stop shuts the instance down. It resigns the leadership at once, serves callers until the load balancer
 // has noticed that the instance is not ready, waits for the requests in progress and then stops the
 // services. It returns the errors of the servers and services, joined.
@@ -369,7 +354,7 @@
 	clock.Sleep(ctx, min(shutdownDelay, i.opts.Settings.Bounds.TerminationGrace-2*shutdownReserve))
 	var errs []error
 	for _, s := range i.servers {
-		errs = append(errs, s.Shutdown(ctx))
+		errs = append(errs, s.stop(ctx))
 	}
 	errs = append(errs, i.kernel.Stop(ctx))
 	err := errors.Join(errs...)
--- /dev/null
+++ b/fleet/server.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+)
+
+// drainPollInterval is the time in milliseconds between two checks whether connections are open.
+const drainPollInterval = 10 * clock.Millisecond
+
+// server is an HTTP server that answers the requests of all connections that are open when it is stopped.
+type server struct {
+	http.Server
+	listener net.Listener
+	// conns is the number of open connections.
+	conns atomic.Int64
+}
+
+func (i *Instance) listenAndServe(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &server{listener: listener}
+	s.Handler, s.ConnState = handler, s.countConns
+	s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout.Duration(), idleTimeout.Duration()
+	i.servers = append(i.servers, s)
+	go func() {
+		err := s.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			i.opts.Log.WithError(err).WithField("address", address).Error("fleet: HTTP server failed")
+		}
+	}()
+	return nil
+}
+
+func (s *server) countConns(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.conns.Add(-1)
+	}
+}
+
+// stop takes no new connections, closes the idle ones, serves the others until they are closed or only
+// shutdownReserve is left, and shuts the server down. A request that is read after the call to Shutdown gets
+// no answer, so that call comes last.
+func (s *server) stop(ctx context.Context) error {
+	_ = s.listener.Close() // Shutdown closes it again and tells the error
+	s.SetKeepAlivesEnabled(false)
+	drain := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		drain, cancel = context.WithDeadline(ctx, deadline.Add(-shutdownReserve.Duration()))
+		defer cancel()
+	}
+	for s.conns.Load() > 0 && drain.Err() == nil {
+		clock.Sleep(drain, drainPollInterval)
+	}
+	return s.Shutdown(ctx)
+}
