controller: ask a worker of which a call failed for an answer without delay

Cause: the order to a worker that has not been polled for a while counts as one to a silent worker, so its copies wait for the answer to a poll. That poll let the worker delay its answer by a sixth of a lease, so it was given up 2.2 s after it had been sent into the cut.

The poll of a worker of which a call has failed asks for an answer at once.

Evidence: the spec "that answer again after half a second" fails without the change (not started within 3 s) and passes.

--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -248,7 +248,7 @@
 		// lease expires, the sooner its runs can be placed again.
 		request.Lease = c.nextLease(n)
 	}
-	if n.pollAnswered && len(n.unackedEnds) == 0 && !n.needsImmediateAnswer() && !probe {
+	if n.pollAnswered && !n.failing && len(n.unackedEnds) == 0 && !n.needsImmediateAnswer() && !probe {
 		request.Wait = c.pollWait()
 		if n.hasNewRun(now) {
 			request.Wait = min(request.Wait, newRunPollWait)
--- a/controller/unreachable_test.go
+++ b/controller/unreachable_test.go
@@ -63,6 +63,19 @@
 		Expect(c.starts(jobID(2) + ".0.0.0")).To(HaveLen(1))
 	})
 
+	It("that answer again after half a second get the order that was not answered within 3 s", func() {
+		c := newClusterWithLease(1, 6*clock.Second)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.completeJob(jobID(1))
+		time.Sleep(4 * time.Second) // an idle worker is not polled
+		c.workers[0].HangCalls(true)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		time.Sleep(500 * time.Millisecond)
+		c.workers[0].HangCalls(false)
+		Eventually(c.workers[0].Running, 2500*time.Millisecond).Should(Equal(1))
+	})
+
 	It("that have exited have their lasting tasks at work elsewhere within 9 s, however long their leases are", func() {
 		c := newClusterWithLease(1, 10*clock.Second)
 		i := c.startInstance(nil)
