controller: give up a run whose order gets no answer although its worker answers polls

Cause: each answer to a poll resets the silence of the worker, and a run whose order has no answer waited without a bound for one of its copies to be answered.

Such a run is stopped 1.5 s after it was ordered. Its task is placed again once the worker has confirmed that, which makes it reject the copies that are still under way; the worker gets no new work for 1 s.

Left open: a worker that answers polls but neither orders nor stops; nothing proves there that the run can't start.

--- a/controller/polls.go
+++ b/controller/polls.go
@@ -98,12 +98,21 @@
 	r.updatePace(reported.Percent, now)
 }
 
+// maxOrderTime is the time in milliseconds after which a run is given up whose order gets no answer from a
+// worker that answers polls. The worker is polled every newRunPollWait until then.
+const maxOrderTime = 1500 * clock.Millisecond
+
 // onRunMissing handles an expected run that its worker did not report. The run has ended if
 // the poll was sent after the run was known to be present, or after its stop took effect. But a copy of
 // its order that went to an earlier process of the worker may still reach this one, unless this one is
 // told to stop the run.
 func (c *Controller) onRunMissing(r *run, sent clock.Millis) {
 	switch r.state {
+	case ordered:
+		if now := c.opts.Clock.Now(); r.orderUnanswered() && now-r.stateSince > maxOrderTime {
+			r.node.noWorkUntil = now + unhealthyDelay
+			c.stopRun(r, "its order gets no answer")
+		}
 	case present, unconfirmed:
 		if sent > r.stateSince {
 			if r.orderUnanswered() && r.ofEarlierProcess() {
--- a/controller/unreachable_test.go
+++ b/controller/unreachable_test.go
@@ -76,6 +76,19 @@
 		Eventually(c.workers[0].Running, 2500*time.Millisecond).Should(Equal(1))
 	})
 
+	It("that answer polls but no orders don't keep a task waiting", func() {
+		c := newClusterWithLease(1, 6*clock.Second)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.completeJob(jobID(1))
+		c.workers[0].DelayStarts(8*time.Second, 1000)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		time.Sleep(time.Second)
+		c.addWorker("i-9")
+		Eventually(c.workers[1].Running, maxIdle-time.Second).Should(Equal(1))
+		Consistently(c.overlaps, 9*time.Second).Should(BeEmpty())
+	})
+
 	It("that have exited have their lasting tasks at work elsewhere within 9 s, however long their leases are", func() {
 		c := newClusterWithLease(1, 10*clock.Second)
 		i := c.startInstance(nil)
