controller: count polls, not time, against an order without an answer

The spec "that answer again after half a second" failed with the commit before: a worker that had been cut off for 0.5 s answered its first poll 1.5 s after the order, which was given up then instead of being sent again.

The wait now counts from the first answered poll that misses the run, and a copy must have got no answer since. Both specs pass.

--- a/controller/polls.go
+++ b/controller/polls.go
@@ -98,9 +98,23 @@
 	r.updatePace(reported.Percent, now)
 }
 
-// maxOrderTime is the time in milliseconds after which a run is given up whose order gets no answer from a
-// worker that answers polls. The worker is polled every newRunPollWait until then.
-const maxOrderTime = 1500 * clock.Millisecond
+// maxMissingTime is the time in milliseconds for which a worker may answer polls and leave the copies of an
+// order unanswered. It is shorter than newRunPollWait, so that the second of such polls ends the wait.
+const maxMissingTime = 900 * clock.Millisecond
+
+// checkUnansweredOrder gives up a run that its worker does not report if copies of its order have got no
+// answer while the worker answered polls.
+func (c *Controller) checkUnansweredOrder(r *run) {
+	now := c.opts.Clock.Now()
+	switch {
+	case !r.orderUnanswered():
+	case r.missingSince == 0:
+		r.missingSince = now
+	case r.unansweredAt > r.missingSince && now-r.missingSince > maxMissingTime:
+		r.node.noWorkUntil = now + unhealthyDelay
+		c.stopRun(r, "its order gets no answer")
+	}
+}
 
 // onRunMissing handles an expected run that its worker did not report. The run has ended if
 // the poll was sent after the run was known to be present, or after its stop took effect. But a copy of
@@ -109,10 +123,7 @@
 func (c *Controller) onRunMissing(r *run, sent clock.Millis) {
 	switch r.state {
 	case ordered:
-		if now := c.opts.Clock.Now(); r.orderUnanswered() && now-r.stateSince > maxOrderTime {
-			r.node.noWorkUntil = now + unhealthyDelay
-			c.stopRun(r, "its order gets no answer")
-		}
+		c.checkUnansweredOrder(r)
 	case present, unconfirmed:
 		if sent > r.stateSince {
 			if r.orderUnanswered() && r.ofEarlierProcess() {
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -63,6 +63,9 @@
 	// reason after its lease had expired.
 	unansweredAt clock.Millis
 	held         bool
+	// missingSince is when the worker first answered a poll without the run after a copy of the order had got no
+	// answer; 0 before.
+	missingSince clock.Millis
 	// unsentSince is when the leader first noticed that a copy of the order could not be sent, as no connection
 	// was opened; 0 before.
 	unsentSince clock.Millis
