--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -48,6 +48,8 @@
 	// a worker has answered an order; nil delays nothing.
 	refuseRenewals bool
 	orderAnswered  chan struct{}
+	// loseStops leaves all stops without an answer.
+	loseStops bool
 	// commitAnswerDelay delays the answers to writes, as if the instance were suspended before it
 	// handles them.
 	commitAnswerDelay time.Duration
@@ -212,6 +214,13 @@
 	if h.isMisdirected(w.ID) {
 		return agent.ErrReplaced
 	}
+	h.mu.Lock()
+	lose := h.loseStops
+	h.mu.Unlock()
+	if lose {
+		<-ctx.Done()
+		return errAnswerLost
+	}
 	ctx, cancel := h.awaitResumption(ctx)
 	defer cancel()
 	return h.WorkerClient.Stop(ctx, w, task, run, fence)
--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -75,6 +75,19 @@
 		Eventually(c.workers[1].Running, maxIdle).Should(Equal(1))
 	})
 
+	It("has a lasting task at work elsewhere within 9 s of the exit of its worker", func() {
+		c, i, first := newCluster()
+		lasting := step(1)
+		lasting.UntilCancelled = true
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{lasting}})
+		Eventually(first.Running, shortTimeout).Should(Equal(1))
+		c.addWorker("i-9")
+		time.Sleep(4 * time.Second) // a lease of an earlier leader would end sooner than the one requested now
+		first.Close()
+		c.hosts.Set("m-"+first.ID(), "")
+		Eventually(c.workers[1].Running, 9*time.Second).Should(Equal(1))
+	})
+
 	It("does not make a task run again whose worker is cut off", func() {
 		c, i, first := newCluster()
 		i.submit(jobID(2), long)
