controller: bound the wait for an order that can't be sent, and stop gangs as a whole

Of a gang, an unanswered order stopped one member only, and the others up to a second later, close to the time after which they end alone.

An order that could not be sent for 1.5 s is given up whether polls are answered or not. An unanswered order stops its whole gang at once, as a draining worker does; the worker is not preferred for 3 s.

Evidence: the spec "whose order can't be sent" fails without the change (not started within 3 s) and passes. The spec of the gang passes with and without it and guards the stop.

--- a/controller/draining.go
+++ b/controller/draining.go
@@ -42,13 +42,7 @@
 
 // stopDrained stops a run on a draining worker, and the rest of its gang.
 func (c *Controller) stopDrained(r *run) {
-	if !r.task.part.step.Gang {
-		c.stopRun(r, "its worker drains")
-		return
-	}
-	for _, member := range r.task.part.runs() {
-		c.stopRun(member, "a worker of its gang drains")
-	}
+	c.stopWithGang(r, "its worker drains", "a worker of its gang drains")
 }
 
 // canFinishBeforeLeaving reports whether a run on a draining worker may finish before the worker
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -126,7 +126,7 @@
 		hooks: &hooks{
 			Store: platform.NewStore(platform.StoreOptions{Address: c.store.Address()}), WorkerClient: platform.NewWorkerClient(),
 			refusedWorkers: make(map[string]bool), misdirectedWorkers: make(map[string]bool), fullWorkers: make(map[string]bool),
-			unreachableWorkers: make(map[string]bool),
+			unreachableWorkers: make(map[string]bool), unsendableWorkers: make(map[string]bool),
 		},
 		board: board.New(nil),
 		logs:  logtest.NewLocal(log),
--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -31,6 +31,8 @@
 	misdirectedWorkers map[string]bool
 	// unreachableWorkers holds the IDs of the workers to which no connection is opened.
 	unreachableWorkers map[string]bool
+	// unsendableWorkers holds the IDs of the workers to which orders can't be sent, for want of a connection.
+	unsendableWorkers map[string]bool
 	// loseNextAnswer discards the worker's answer to the next Start and then refuses all calls
 	// to this worker.
 	loseNextAnswer bool
@@ -134,8 +136,9 @@
 	if h.isMisdirected(w.ID) {
 		return "", 0, agent.ErrReplaced
 	}
-	if err := h.awaitConnection(ctx, w.ID); err != nil {
-		return "", 0, err
+	if h.isMarked(h.unreachableWorkers, w.ID) || h.isMarked(h.unsendableWorkers, w.ID) {
+		<-ctx.Done()
+		return "", 0, agent.ErrNotSent
 	}
 	if h.isRefused(w.ID) {
 		return "", 0, agent.ErrAbsent
@@ -173,22 +176,18 @@
 	h.refuseRenewals, h.orderAnswered = true, make(chan struct{})
 }
 
-func (h *hooks) setUnreachable(id string, unreachable bool) {
-	h.mark(h.unreachableWorkers, id, unreachable)
+func (h *hooks) setUnsendable(id string, unsendable bool) {
+	h.mark(h.unsendableWorkers, id, unsendable)
 }
 
-// awaitConnection waits for a connection to a worker, in vain if the worker is unreachable.
-func (h *hooks) awaitConnection(ctx context.Context, id string) error {
-	if !h.isMarked(h.unreachableWorkers, id) {
-		return nil
-	}
-	<-ctx.Done()
-	return agent.ErrNotSent
+func (h *hooks) setUnreachable(id string, unreachable bool) {
+	h.mark(h.unreachableWorkers, id, unreachable)
 }
 
 func (h *hooks) Renew(ctx context.Context, w agent.Worker, r agent.Renewal) (agent.Report, error) {
-	if err := h.awaitConnection(ctx, w.ID); err != nil {
-		return agent.Report{}, err
+	if h.isMarked(h.unreachableWorkers, w.ID) {
+		<-ctx.Done()
+		return agent.Report{}, agent.ErrNotSent
 	}
 	if h.isMisdirected(w.ID) {
 		return agent.Report{}, agent.ErrReplaced
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -64,9 +64,14 @@
 		}
 		return
 	}
+	if r.isUnsendable(c.opts.Clock.Now()) {
+		r.node.avoid(c.opts.Clock.Now())
+		c.removeUnordered(r, "no connection to its worker was opened")
+		return
+	}
 	order.Lease = c.nextLease(r.node)
 	switch {
-	case order.Lease == 0 && (r.orderUnanswered() || r.waitsForConnection(c.opts.Clock.Now())):
+	case order.Lease == 0 && (r.orderUnanswered() || r.unsentSince != 0):
 		c.retryOrder(r, order)
 		return
 	case order.Lease == 0:
@@ -80,9 +85,14 @@
 	c.sendOrder(r, order)
 }
 
-// waitsForConnection reports whether an order that could not be sent yet is still to be sent.
-func (r *run) waitsForConnection(now clock.Millis) bool {
-	return r.unsentSince != 0 && now-r.unsentSince <= maxRenewalSilence
+// isUnsendable reports whether no copy of an order could be sent for maxRenewalSilence.
+func (r *run) isUnsendable(now clock.Millis) bool {
+	return !r.orderUnanswered() && r.unsentSince != 0 && now-r.unsentSince > maxRenewalSilence
+}
+
+// avoid keeps new tasks from a worker that does not take orders, and prefers other workers for some time.
+func (n *node) avoid(now clock.Millis) {
+	n.noWorkUntil, n.suspectUntil = max(n.noWorkUntil, now+unhealthyDelay), now+suspectDuration
 }
 
 // removeUnordered removes a run whose order has never been sent. The reason is the value of a log field.
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -111,8 +111,8 @@
 	case r.missingSince == 0:
 		r.missingSince = now
 	case r.unansweredAt > r.missingSince && now-r.missingSince > maxMissingTime:
-		r.node.noWorkUntil = now + unhealthyDelay
-		c.stopRun(r, "its order gets no answer")
+		r.node.avoid(now)
+		c.stopWithGang(r, "its order gets no answer", "an order of its gang gets no answer")
 	}
 }
 
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -156,7 +156,7 @@
 		c.opts.Log.WithFields(r.logFields()).WithField("verdict", string(verdict)).Warn("controller: order rejected")
 		c.opts.Counters.Counter(`chestnutsail_orders_rejected_total{verdict="` + string(verdict) + `"}`).Inc()
 		if verdict == agent.Unhealthy {
-			r.node.noWorkUntil, r.node.suspectUntil = now+unhealthyDelay, now+suspectDuration
+			r.node.avoid(now)
 		}
 		if verdict == agent.Full {
 			r.node.recordFull(now)
@@ -288,6 +288,17 @@
 	c.markChanged(p.job)
 }
 
+// stopWithGang stops a run for a reason and, if it is a member of a gang, all runs of the gang for gangReason.
+func (c *Controller) stopWithGang(r *run, reason, gangReason string) {
+	if !r.task.part.step.Gang {
+		c.stopRun(r, reason)
+		return
+	}
+	for _, member := range r.task.part.runs() {
+		c.stopRun(member, gangReason)
+	}
+}
+
 // stopGang stops the remaining members of a gang, which can't continue without a member that
 // has ended.
 func (c *Controller) stopGang(p *part) {
--- a/controller/unreachable_test.go
+++ b/controller/unreachable_test.go
@@ -63,6 +63,34 @@
 		Expect(c.starts(jobID(2) + ".0.0.0")).To(HaveLen(1))
 	})
 
+	It("that answer polls do not keep a task waiting whose order can't be sent", func() {
+		c := newClusterWithLease(1, 6*clock.Second)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.completeJob(jobID(1))
+		i.setUnsendable("i-0", true)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
+		time.Sleep(time.Second)
+		c.addWorker("i-9")
+		Eventually(c.workers[1].Running, maxIdle-time.Second).Should(Equal(1))
+	})
+
+	It("stop a gang as a whole of which one order gets no answer", func() {
+		c := newClusterWithLease(2, 6*clock.Second)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.completeJob(jobID(1))
+		c.workers[0].DelayStarts(8*time.Second, 1000)
+		gang := step(2)
+		gang.Gang, gang.Accels = true, 8
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{gang}})
+		time.Sleep(time.Second)
+		c.addWorker("i-9")
+		Eventually(c.workers[2].Running, maxIdle-time.Second).Should(Equal(1))
+		Eventually(c.workers[1].Running, time.Second).Should(Equal(1))
+		Consistently(c.overlaps, 9*time.Second).Should(BeEmpty())
+	})
+
 	It("that answer again after half a second get the order that was not answered within 3 s", func() {
 		c := newClusterWithLease(1, 6*clock.Second)
 		i := c.startInstance(nil)
