--- a/controller/waits_test.go
+++ b/controller/waits_test.go
@@ -40,7 +40,7 @@
 		i.set(func(h *hooks) { h.loseStops = true })
 		i.submit(jobID(2), long)
 		time.Sleep(200 * time.Millisecond) // the first copy is under way
-		i.setFull("i-0", true)
+		i.setFull(c.workers[0].ID(), true)
 		c.addWorker("i-9")
 		Eventually(c.workers[1].Running, maxIdle).Should(Equal(1))
 	})
