--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -27,22 +27,22 @@
 	absentLists = 2
 )
 
-// fate is what a list of the hosts tells of a worker.
-type fate string
+// liveness is what a list of the hosts tells of a worker.
+type liveness string
 
 const (
 	// alive workers run on a host.
-	alive fate = "alive"
+	alive liveness = "alive"
 	// absent workers are on no host of the list, and neither is the host that they ran on.
-	absent fate = "absent"
+	absent liveness = "absent"
 	// down workers have ended, and nothing else runs on their host. They may start again under their ID.
-	down fate = "down"
+	down liveness = "down"
 	// replaced workers have ended for good: another worker runs on their host.
-	replaced fate = "replaced"
+	replaced liveness = "replaced"
 )
 
-// fateOf returns what a list of the hosts tells of a worker.
-func fateOf(w agent.Worker, id string, hosts []agent.Host) fate {
+// livenessOf returns what a list of the hosts tells of a worker.
+func livenessOf(w agent.Worker, id string, hosts []agent.Host) liveness {
 	found := absent
 	for _, h := range hosts {
 		switch {
@@ -105,26 +105,26 @@
 func (c *Controller) onHostsListed(hosts []agent.Host, sent clock.Millis) {
 	for _, n := range c.nodes {
 		if !n.isSilent(sent) || n.lastAnswer >= sent {
-			n.fate, n.absences = "", 0
+			n.liveness, n.absences = "", 0
 			continue
 		}
-		f := fateOf(n.worker, n.id, hosts)
-		if f == absent {
+		l := livenessOf(n.worker, n.id, hosts)
+		if l == absent {
 			n.absences++
 		} else {
 			n.absences = 0
 		}
-		if f != n.fate {
-			n.fate = f
-			c.opts.Counters.Counter(`chestnutsail_silent_workers_total{fate="` + string(f) + `"}`).Inc()
-			c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "fate": string(f), "runs": len(n.runs), "silent_ms": int64(sent - n.lastAnswer), "listed": n.listed}).Info("controller: list of hosts tells of a silent worker")
+		if l != n.liveness {
+			n.liveness = l
+			c.opts.Counters.Counter(`chestnutsail_silent_workers_total{liveness="` + string(l) + `"}`).Inc()
+			c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "liveness": string(l), "runs": len(n.runs), "silent_ms": int64(sent - n.lastAnswer), "listed": n.listed}).Info("controller: list of hosts tells of a silent worker")
 		}
 		switch {
-		case f == replaced, f == absent && n.absences >= absentLists:
+		case l == replaced, l == absent && n.absences >= absentLists:
 			c.removeEndedRuns(n, func(*run) bool { return true })
 			clear(n.unknownRuns)
 			clear(n.strayOrders)
-		case f == down:
+		case l == down:
 			c.removeEndedRuns(n, func(r *run) bool { return r.endedWithWorker(sent) })
 		}
 	}
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -107,9 +107,9 @@
 	speed speed.Mean
 	// slowUntil is the time until which the worker counts as far slower than others.
 	slowUntil clock.Millis
-	// fate is what the last list of the hosts told of the worker while it was silent, and absences the number
+	// liveness is what the last list of the hosts told of the worker while it was silent, and absences the number
 	// of such lists in a row in which it was absent.
-	fate     fate
+	liveness liveness
 	absences int
 }
 
