--- a/fleet/server.go
+++ b/fleet/server.go
@@ -52,7 +52,7 @@
 // shutdownReserve is left, and shuts the server down. A request that is read after the call to Shutdown gets
 // no answer, so that call comes last.
 func (s *server) stop(ctx context.Context) error {
-	_ = s.listener.Close() // Shutdown closes it again and tells the error
+	_ = s.listener.Close() // fails only after Serve has failed, which is logged
 	s.SetKeepAlivesEnabled(false)
 	drain := ctx
 	if deadline, ok := ctx.Deadline(); ok {
