--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// newClusterWithLeader returns a cluster of idle workers and its leader, which has completed job 1.
+func newClusterWithLeader(workers int, lease clock.Millis) (*cluster, *instance) {
+	GinkgoHelper()
+	c := newClusterWithLease(workers, lease)
+	i := c.startInstance(nil)
+	Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+	i.completeJob(jobID(1))
+	return c, i
+}
+
 // addWorkerIn adds a worker in a failure domain and a rack; "" means the stand-in's default.
 func (c *cluster) addWorkerIn(domain, rack, id string) {
 	c.startWorker(platformtest.WorkerOptions{ID: id, Domain: domain, Rack: rack})
--- a/controller/unreachable_test.go
+++ b/controller/unreachable_test.go
@@ -51,10 +51,7 @@
 	})
 
 	It("do not keep a task waiting whose order was never sent to them", func() {
-		c := newClusterWithLease(1, 10*clock.Second)
-		i := c.startInstance(nil)
-		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
-		i.completeJob(jobID(1))
+		c, i := newClusterWithLeader(1, 10*clock.Second)
 		i.setUnreachable("i-0", true)
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
 		time.Sleep(500 * time.Millisecond) // copies of the order can't be sent
@@ -64,10 +61,7 @@
 	})
 
 	It("that answer polls do not keep a task waiting whose order can't be sent", func() {
-		c := newClusterWithLease(1, 6*clock.Second)
-		i := c.startInstance(nil)
-		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
-		i.completeJob(jobID(1))
+		c, i := newClusterWithLeader(1, 6*clock.Second)
 		i.setUnsendable("i-0", true)
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
 		time.Sleep(time.Second)
@@ -76,10 +70,7 @@
 	})
 
 	It("stop a gang as a whole of which one order gets no answer", func() {
-		c := newClusterWithLease(2, 6*clock.Second)
-		i := c.startInstance(nil)
-		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
-		i.completeJob(jobID(1))
+		c, i := newClusterWithLeader(2, 6*clock.Second)
 		c.workers[0].DelayStarts(8*time.Second, 1000)
 		gang := step(2)
 		gang.Gang, gang.Accels = true, 8
@@ -92,10 +83,7 @@
 	})
 
 	It("that answer again after half a second get the order that was not answered within 3 s", func() {
-		c := newClusterWithLease(1, 6*clock.Second)
-		i := c.startInstance(nil)
-		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
-		i.completeJob(jobID(1))
+		c, i := newClusterWithLeader(1, 6*clock.Second)
 		time.Sleep(4 * time.Second) // an idle worker is not polled
 		c.workers[0].HangCalls(true)
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
@@ -105,10 +93,7 @@
 	})
 
 	It("that answer polls but no orders don't keep a task waiting", func() {
-		c := newClusterWithLease(1, 6*clock.Second)
-		i := c.startInstance(nil)
-		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
-		i.completeJob(jobID(1))
+		c, i := newClusterWithLeader(1, 6*clock.Second)
 		c.workers[0].DelayStarts(8*time.Second, 1000)
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
 		time.Sleep(time.Second)
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -52,7 +52,11 @@
 // shutdownReserve is left, and shuts the server down. A request that is read after the call to Shutdown gets
 // no answer, so that call comes last.
 func (s *server) stop(ctx context.Context) error {
-	_ = s.listener.Close() // fails only after Serve has failed, which is logged
+	err := s.listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		// Serve has failed, which is logged.
+		err = nil
+	}
 	s.SetKeepAlivesEnabled(false)
 	drain := ctx
 	if deadline, ok := ctx.Deadline(); ok {
@@ -63,5 +67,5 @@
 	for s.conns.Load() > 0 && drain.Err() == nil {
 		clock.Sleep(drain, drainPollInterval)
 	}
-	return s.Shutdown(ctx)
+	return errors.Join(err, s.Shutdown(ctx))
 }
