reconcile: report a live job of the specs' ledger as accepted

Cause: fakeJobs.Query answered done for a job that still runs, which a ledger never does (ledger.Ledger.Query: accepted while the job is live). When one reconciler submitted a job after the other had read its state and before that one read its outcome, the fake told the second one that the job had ended, and it rightly started the next generation. With the ledger's answer, replicaState returns Undetermined and the pass leaves the replica.

The check is the same; the reconciler is unchanged.

--- a/reconcile/reconcile_test.go
+++ b/reconcile/reconcile_test.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	states  map[string]job.State
 	started []string
+	// onMissing is called with the key of a job that State has not found; it may be nil.
+	onMissing func(key string)
 }
 
 func (j *fakeJobs) Submit(_ context.Context, s job.Spec) outcome.Outcome {
@@ -56,20 +58,29 @@
 
 func (j *fakeJobs) State(_ context.Context, _, _, key string) (job.State, error) {
 	j.mu.Lock()
-	defer j.mu.Unlock()
-	if s, ok := j.states[key]; ok && !s.Ended() {
+	s, ok := j.states[key]
+	onMissing := j.onMissing
+	j.mu.Unlock()
+	if ok && !s.Ended() {
 		return s, nil
 	}
+	if onMissing != nil {
+		onMissing(key)
+	}
 	return "", &kv.Error{Kind: kv.Missing, Err: kv.ErrMissing}
 }
 
 func (j *fakeJobs) Query(_ context.Context, _, key string) outcome.Outcome {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if _, ok := j.states[key]; ok {
+	switch s, ok := j.states[key]; {
+	case !ok:
+		return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.UnknownKey}
+	case s.Ended():
 		return outcome.Outcome{Kind: outcome.Done}
+	default:
+		return outcome.Outcome{Kind: outcome.Accepted}
 	}
-	return outcome.Outcome{Kind: outcome.Unknown, Reason: outcome.UnknownKey}
 }
 
 // liveKeys returns the keys of live jobs.
@@ -160,6 +171,18 @@
 		Expect(jobs.startOrder()).To(HaveLen(3))
 	})
 
+	It("starts a replica once when another leader submits its job between the reads of its state and of its outcome", func() {
+		store.SetFaults(consultest.Faults{LoseAnswers: 1})
+		jobs.onMissing = func(key string) {
+			service, _ := texts.Now().Text.Service("ledger")
+			jobs.Submit(context.Background(), service.Spec(key, nil))
+		}
+		startReconciler(alwaysLeads)
+		Eventually(jobs.liveKeys).WithTimeout(5 * time.Second).Should(HaveLen(3))
+		Consistently(jobs.liveKeys).WithTimeout(300 * time.Millisecond).Should(HaveLen(3))
+		Expect(jobs.startOrder()).To(HaveLen(3))
+	})
+
 	It("replaces replicas with another specification and stops services that were removed", func() {
 		startReconciler(alwaysLeads)
 		Eventually(jobs.liveKeys).Should(HaveLen(3))
