controller, workflow: record when a step is done

What callers saw: a gang of a later step that waits for room in one rack began this wait anew under each leader. With one change of the leader in the wait it started 3.8 s after it could, above the 3 s of the rule, and with more changes later still.

Cause: part.readySince of a step with predecessors was the time of the first plan that this leader made for it. Only the first steps counted from a recorded time, the acceptance of the job.

Fix: the progress of a step says when it was done, in the write that records that it is, so there is no further write. A part is ready when its last predecessor was done; if that is not known, from now on, as before. Times ahead of this leader's clock count as now.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -49,8 +49,10 @@
 	// last run that failed.
 	gangFailures  int
 	lastFailedRun int
-	// readySince is when tasks of the part were first ready to start; 0 before.
+	// readySince is when tasks of the part were first ready to start; 0 before. doneAt is when the last one was
+	// done; 0 before, or if that is not known.
 	readySince clock.Millis
+	doneAt     clock.Millis
 	// measured holds the measured run times of finished tasks.
 	measured runTime
 }
@@ -150,6 +152,7 @@
 	p := j.partOf(recorded.Occurrence, recorded.Step)
 	if recorded.AllDone {
 		p.markAllDone()
+		p.doneAt = recorded.DoneAt
 		p.measured.add(float64(recorded.RunTime))
 		c.runTimes.Observe(j.record.Queue, p.step.Estimate, recorded.RunTime)
 		return
@@ -216,7 +219,7 @@
 func (p *part) encode() (workflow.StepProgress, bool) {
 	out := workflow.StepProgress{Occurrence: p.occurrence, Step: p.index, AllDone: p.doneTasks == len(p.tasks), FailedRun: p.lastFailedRun}
 	if out.AllDone {
-		out.RunTime = p.measured.mean()
+		out.RunTime, out.DoneAt = p.measured.mean(), p.doneAt
 	}
 	for _, t := range p.tasks {
 		if t.run != nil && t.run.state != planned {
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -235,6 +235,20 @@
 	return true
 }
 
+// readyAt returns when the tasks of a part became ready, which may have been under an earlier leader: when all steps
+// that must be done before were done, but not before begin. It returns now if the end of such a step is not known.
+func (p *part) readyAt(begin, now clock.Millis) clock.Millis {
+	at := begin
+	for _, a := range p.step.After {
+		doneAt := p.job.parts[p.occurrence][a].doneAt
+		if doneAt == 0 {
+			return now
+		}
+		at = max(at, doneAt)
+	}
+	return min(at, now)
+}
+
 func (c *Controller) addUnit(snap *snapshot, p *part, guaranteed bool, now clock.Millis) {
 	waiting := p.waiting()
 	// A gang is added only when all its tasks wait.
@@ -245,11 +259,7 @@
 	r := j.record
 	begin := max(r.AcceptedAt, r.Spec.EarliestStart(p.occurrence))
 	if p.readySince == 0 {
-		p.readySince = now
-		if len(p.step.After) == 0 {
-			// An earlier leader may have kept the part waiting already.
-			p.readySince = min(begin, now)
-		}
+		p.readySince = p.readyAt(begin, now)
 	}
 	objective := c.objective(j)
 	u := planner.Unit{
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -216,6 +216,9 @@
 		t.markDone()
 	}
 	if p.doneTasks == len(p.tasks) {
+		if p.doneAt == 0 {
+			p.doneAt = c.opts.Clock.Now()
+		}
 		c.runTimes.Observe(p.job.record.Queue, p.step.Estimate, p.measured.mean())
 	}
 	if p.step.Gang && !current {
--- a/workflow/progress.go
+++ b/workflow/progress.go
@@ -61,6 +61,9 @@
 	// RunTime is the mean time in milliseconds that the tasks ran on a worker of usual speed; 0
 	// if AllDone is not set or it was not measured.
 	RunTime clock.Millis `cbor:"r,omitempty"`
+	// DoneAt is the Unix time in milliseconds at which the leader learned that every task is done; 0 if AllDone is
+	// not set or an earlier version recorded the step.
+	DoneAt clock.Millis `cbor:"e,omitempty"`
 }
 
 // Progress is the recorded progress of a job. Only the leader writes it.
