election, fleet: bound the time in which a leader resigns

What callers would see: a leader that is terminated while the store hangs spent its whole time of termination in the call that ends its lease. Its listeners stayed open all that time, then there was none left for the requests in progress, and the process outlived its grace (5.5 s of 6 s in the call, 1 s more for the services): SIGKILL cuts what is still open.

Cause: Resign passed its caller's context to the store. All other calls of the election have a timeout of their own.

Fix: the call has the timeout of the others; if it fails the key expires with the lease, as before. The time for which the instance goes on serving callers counts from the beginning of the shutdown, so that resigning does not add to it.

--- a/election/election.go
+++ b/election/election.go
@@ -171,6 +171,8 @@
 		return
 	}
 	e.opts.OnLost()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
 	if err := e.opts.Store.Revoke(ctx, lease); err != nil {
 		e.opts.Log.WithError(err).Warn("election: lease not revoked; the key expires with it")
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -350,8 +350,9 @@
 func (i *Instance) Stop(ctx context.Context) error {
 	i.stopping.Store(true)
 	i.opts.Log.Info("fleet: shutting down")
+	serveUntil := i.clock.Now() + min(shutdownDelay, i.opts.Settings.Bounds.TerminationGrace-2*shutdownReserve)
 	i.election.Resign(ctx)
-	clock.Sleep(ctx, min(shutdownDelay, i.opts.Settings.Bounds.TerminationGrace-2*shutdownReserve))
+	clock.Sleep(ctx, serveUntil-i.clock.Now())
 	var errs []error
 	for _, s := range i.servers {
 		errs = append(errs, s.stop(ctx))
--- a/fleet/shutdown_test.go
+++ b/fleet/shutdown_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 )
@@ -48,4 +49,19 @@
 		Entry("just after it has closed its listener", 200*time.Millisecond),
 		Entry("2 s after it has closed its listener", 2100*time.Millisecond),
 	)
+
+	It("ends within its termination grace although the store hangs while it leads", func() {
+		store := platformtest.NewStore()
+		DeferCleanup(store.Close)
+		store.Put(platform.ConfigKey, platformtest.Config(1, platformtest.Queue{Name: "q", Attempts: 1}))
+		m := startInstance("e1", "a", store.Address())
+		Eventually(func() string { return leaderName(store) }, 5*time.Second).Should(Equal("e1"))
+		grace := m.settings.Bounds.TerminationGrace
+		store.SetFaults(func(f *platformtest.Faults) { f.AnswerDelay = 5 * time.Second })
+		ctx, cancel := context.WithTimeout(context.Background(), (grace - clock.Second/2).Duration())
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- m.Stop(ctx) }()
+		Eventually(stopped, grace.Duration()).Should(Receive())
+	})
 })
