fleet: wait for Serve before a server is shut down

What callers saw: a process that is told to stop reported 'close tcp: use of closed network connection' and ended with the exit code of a failure now and then, although all had gone well.

Shutdown closes all listeners whose Serve has not returned yet.

Fix: stop waits until Serve has returned, which closing the listener causes. Shutdown then knows no listener.

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -19,6 +19,8 @@
 	listener net.Listener
 	// conns is the number of open connections.
 	conns atomic.Int64
+	// served is closed once Serve has returned.
+	served chan struct{}
 }
 
 func (i *Instance) listenAndServe(address string, handler http.Handler) error {
@@ -26,11 +28,12 @@
 	if err != nil {
 		return err
 	}
-	s := &server{listener: listener}
+	s := &server{listener: listener, served: make(chan struct{})}
 	s.Handler, s.ConnState = handler, s.countConns
 	s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout.Duration(), idleTimeout.Duration()
 	i.servers = append(i.servers, s)
 	go func() {
+		defer close(s.served)
 		err := s.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			i.opts.Log.WithError(err).WithField("address", address).Error("fleet: HTTP server failed")
@@ -57,6 +60,8 @@
 		// Serve has failed, which is logged.
 		err = nil
 	}
+	// Until Serve has returned, Shutdown would close the listener again and report that as an error.
+	<-s.served
 	s.SetKeepAlivesEnabled(false)
 	drain := ctx
 	if deadline, ok := ctx.Deadline(); ok {
--- a/fleet/shutdown_test.go
+++ b/fleet/shutdown_test.go
@@ -10,8 +10,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/fleet"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 )
@@ -64,4 +66,19 @@
 		go func() { stopped <- m.Stop(ctx) }()
 		Eventually(stopped, grace.Duration()).Should(Receive())
 	})
+
+	It("reports no error although it is stopped just after its start", func() {
+		store := platformtest.NewStore()
+		DeferCleanup(store.Close)
+		log := logrus.New()
+		log.SetOutput(GinkgoWriter)
+		ctx := context.Background()
+		for range 60 {
+			instance := fleet.New(fleet.Options{Log: logrus.NewEntry(log), Settings: platform.Settings{
+				Name: "e1", IP: "127.0.0.1", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", StoreAddress: store.Address(),
+			}})
+			Expect(instance.Start(ctx)).To(Succeed())
+			Expect(instance.Stop(ctx)).To(Succeed())
+		}
+	})
 })
