fleet: give the instances of the specs loopback addresses of their own

Addresses are now on a random loopback IP, from which no connection goes out, and the port for the calls of others is free on the same IP.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -20,8 +22,9 @@
 
 func TestFleet(t *testing.T) { suite.Run(t, "fleet") }
 
+// freeAddress returns an address on a loopback IP of its own, where no outgoing connection takes the port.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(255), 1+rand.N(254)))
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { Expect(l.Close()).To(Succeed()) }()
 	return l.Addr().String()
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -79,12 +79,12 @@
 // startInstance starts an instance in a failure domain. It is stopped at the end of the spec.
 func startInstance(name, domain, store string) member {
 	GinkgoHelper()
-	_, port, err := net.SplitHostPort(freeAddress())
+	ip, port, err := net.SplitHostPort(freeAddress())
 	Expect(err).NotTo(HaveOccurred())
 	peerPort, err := strconv.Atoi(port)
 	Expect(err).NotTo(HaveOccurred())
 	s := platform.Settings{
-		Name: name, IP: "127.0.0.1", Domain: domain, CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store, Cores: 1, LinkSpeed: 1000,
+		Name: name, IP: ip, Domain: domain, CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store, Cores: 1, LinkSpeed: 1000,
 		Ports:  [2]int{peerPort, 0},
 		Bounds: platform.Bounds{MaxLease: 5 * clock.Second, StopTime: 100 * clock.Millisecond, TerminationGrace: 3 * clock.Second},
 	}
@@ -120,12 +120,12 @@
 		DeferCleanup(store.Close)
 		log := logrus.New()
 		log.SetOutput(GinkgoWriter)
-		_, port, err := net.SplitHostPort(freeAddress())
+		ip, port, err := net.SplitHostPort(freeAddress())
 		Expect(err).NotTo(HaveOccurred())
 		metrics, err := strconv.Atoi(port)
 		Expect(err).NotTo(HaveOccurred())
 		instance := fleet.New(fleet.Options{Log: logrus.NewEntry(log), Settings: platform.Settings{
-			Name: "e1", IP: "127.0.0.1", CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store.Address(),
+			Name: "e1", IP: ip, CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store.Address(),
 			Ports: [2]int{metrics, metrics},
 		}})
 		Expect(instance.Start(ctx)).To(Succeed())
