controller, workflow: record orders without an answer

Callers may see two runs of a task at once (TWICE) after a change of the leader: a copy of an order that got no answer is carried out by a process of its worker that has started again under its ID, while the new leader has placed the task elsewhere.

Cause: only the leader that sent the order knew that it got no answer. A new leader waited for the longest lease, which may be shorter than the 15 s for which such a copy may be under way.

The progress of a step now says which placed runs have such an order, and until when copies of it may be sent. That time is 4 s ahead of the copy that got no answer, longer than a silent worker gets copies, so one write an order is enough; a later copy is recorded anew. A new leader takes the run over with that time, which is cut to the end of the earlier term in case of a clock that is ahead, so it holds the task, tells a new process to stop the run, and gives it up at once when the list of hosts shows the worker replaced or gone, as the earlier leader would have. Records without the field decode as before.

What remains: an order whose leader is replaced before it has noticed (0.25 s) and recorded that there is no answer; copies of runs that were removed before; a clock of the earlier leader that was behind by seconds shortens the wait.

--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -131,8 +131,8 @@
 }
 
 // endedWithWorker reports whether a run whose worker had ended at the time sent can't begin again: a worker that
-// starts again under its ID would carry out a copy of the order that is still under way. Of the runs of an
-// earlier leader it is not known whether there is one.
+// starts again under its ID would carry out a copy of the order that is still under way. An earlier leader may
+// have been replaced before it recorded that there is one.
 func (r *run) endedWithWorker(sent clock.Millis) bool {
 	if r.orderUnanswered() {
 		return sent > r.unansweredAt+maxOrderDelay
--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -75,6 +75,23 @@
 		Eventually(c.workers[1].Running, maxIdle).Should(Equal(1))
 	})
 
+	It("spares a new leader the wait for a late order, of which it knows, to a worker that has been replaced", func() {
+		c, i, first := newCluster()
+		first.DelayStarts(12*time.Second, 1)
+		i.submit(jobID(2), long)
+		time.Sleep(100 * time.Millisecond) // the first copy is under way
+		first.HangCalls(true)
+		Eventually(func() int { return i.unansweredRuns(jobID(2)) }, shortTimeout).Should(Equal(1))
+		i.election.Resign(GinkgoT().Context())
+		c.addWorker("i-9")
+		next := c.startInstance(nil)
+		Eventually(next.isLeader, shortTimeout).Should(BeTrue())
+		Consistently(c.workers[1].Running, time.Second).Should(BeZero())
+		crash(c, first, "i-8")
+		Eventually(c.workers[1].Running, maxIdle).Should(Equal(1))
+		Consistently(c.overlaps, 500*time.Millisecond).Should(BeEmpty())
+	})
+
 	It("has a lasting task at work elsewhere within 9 s of the exit of its worker", func() {
 		c, i, first := newCluster()
 		lasting := step(1)
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -190,7 +190,9 @@
 			t := p.tasks[place.Index]
 			n := c.nodeByID(place.Worker)
 			t.lastRun = max(t.lastRun, place.Run)
-			c.assignRun(t, n, place.Run, inherited).workerStart = place.WorkerStartedAt
+			r := c.assignRun(t, n, place.Run, inherited)
+			r.workerStart = place.WorkerStartedAt
+			c.restoreUnanswered(r, recorded.Unanswered[place.Index])
 		}
 	}
 	j.progress.Parts = nil
@@ -224,6 +226,12 @@
 	for _, t := range p.tasks {
 		if t.run != nil && t.run.state != planned {
 			out.Places = append(out.Places, workflow.PlacedRun{Index: t.index, Run: t.run.number, Worker: t.run.node.id, WorkerStartedAt: t.run.workerStart})
+			if t.run.copiesUntil != 0 {
+				if out.Unanswered == nil {
+					out.Unanswered = make(map[int]clock.Millis)
+				}
+				out.Unanswered[t.index] = t.run.copiesUntil
+			}
 		}
 		switch {
 		case out.AllDone:
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -59,10 +59,14 @@
 	resumed bool
 	adopted bool
 	// unansweredAt is when the leader last noticed that a copy of the order got no answer, so that the
-	// worker may still carry it out; 0 if there is none. held reports whether the run was kept for that
-	// reason after its lease had expired.
+	// worker may still carry it out; 0 if there is none. For a run of an earlier leader it is the latest time
+	// at which that leader may have sent a copy. held reports whether the run was kept for that reason after its
+	// lease had expired.
 	unansweredAt clock.Millis
 	held         bool
+	// copiesUntil is the time in the job's record until which a later leader allows for copies of the order; 0
+	// if there is none.
+	copiesUntil clock.Millis
 	// missingSince is when the worker first answered a poll without the run after a copy of the order had got no
 	// answer; 0 before.
 	missingSince clock.Millis
@@ -123,7 +127,11 @@
 	case r.unsentSince == 0:
 		r.unsentSince = now
 	}
-	if r.task.run != r || r.state != ordered {
+	if r.task.run != r {
+		return
+	}
+	c.recordUnanswered(r)
+	if r.state != ordered {
 		return
 	}
 	switch {
--- a/controller/stray.go
+++ b/controller/stray.go
@@ -6,6 +6,32 @@
 // workers' protocol says only that it may be carried out seconds later.
 const maxOrderDelay = 15 * clock.Second
 
+// copiesRecordedAhead is how far in milliseconds the record of an order without an answer reaches ahead, so that
+// the copies that follow need no write each: a worker gets no more of them once it has been silent for
+// maxRenewalSilence, which may begin with the answer to a poll that was waiting there.
+const copiesRecordedAhead = maxPollWait + maxRenewalSilence + 2*orderTimeout
+
+// recordUnanswered records for later leaders that a copy of a run's order got no answer, unless the job's record
+// already allows for the copy.
+func (c *Controller) recordUnanswered(r *run) {
+	if r.unansweredAt <= r.copiesUntil {
+		return
+	}
+	r.copiesUntil = r.unansweredAt + copiesRecordedAhead
+	c.markChanged(r.task.part.job)
+}
+
+// restoreUnanswered restores the time until which an earlier leader may have sent copies of a run's order, if it
+// recorded one. No copy was sent after the term of that leader, whatever its clock showed.
+func (c *Controller) restoreUnanswered(r *run, copiesUntil clock.Millis) {
+	if copiesUntil == 0 {
+		return
+	}
+	copiesUntil = min(copiesUntil, c.leadingSince+c.opts.LeaderTTL)
+	r.unansweredAt, r.copiesUntil = copiesUntil, copiesUntil
+	r.node.strayOrders[runKey{r.task.id(), r.number}] = copiesUntil
+}
+
 // stopStrayOrders asks a new process of a worker to reject the orders that went to earlier ones and got
 // no answer, if their runs are over. It knows neither these runs nor their fence.
 func (c *Controller) stopStrayOrders(n *node) {
--- a/workflow/progress.go
+++ b/workflow/progress.go
@@ -55,6 +55,9 @@
 	Done    []int          `cbor:"d,omitempty"`
 	Tasks   []TaskProgress `cbor:"t,omitempty"`
 	Places  []PlacedRun    `cbor:"p,omitempty"`
+	// Unanswered holds the placed runs of which a copy of the order got no answer, by the index of the task: the
+	// Unix time in milliseconds until which the leader that recorded it may send copies without recording it again.
+	Unanswered map[int]clock.Millis `cbor:"u,omitempty"`
 	// FailedRun is the number of the last run of a gang that failed; 0 if none did. Further members of that
 	// run may end as failed after it.
 	FailedRun int `cbor:"f,omitempty"`
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -58,7 +58,8 @@
 	It("has a progress that can be encoded and decoded", func() {
 		p := workflow.Progress{State: workflow.Running, Parts: []workflow.StepProgress{{
 			Step: 1, Done: []int{3}, Tasks: []workflow.TaskProgress{{Index: 4, Run: 2, Failures: 1, Checkpoint: "x"}},
-			Places: []workflow.PlacedRun{{Index: 4, Run: 2, Worker: "i-1", WorkerStartedAt: 7}},
+			Places:     []workflow.PlacedRun{{Index: 4, Run: 2, Worker: "i-1", WorkerStartedAt: 7}},
+			Unanswered: map[int]clock.Millis{4: 9},
 		}}}
 		var out workflow.Progress
 		Expect(workflow.Decode(workflow.Encode(p), &out)).To(Succeed())
