controller: remove a missing run whose order can't be late any more

What callers saw: a task whose order got no answer once, and whose repetition ran, waited when its worker started again much later until that worker had confirmed a stop; while it left the stop unanswered, the task did not run.

Cause: a mark that an order was unanswered stays with the run, and where a run is missing on a process that has started since, only the mark was asked for, not its age. The list of hosts already asked for both.

--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -135,7 +135,7 @@
 // have been replaced before it recorded that there is one.
 func (r *run) endedWithWorker(sent clock.Millis) bool {
 	if r.orderUnanswered() {
-		return sent > r.unansweredAt+maxOrderDelay
+		return !r.copyMayBeLate(sent)
 	}
 	return r.firstSeen != 0 && !r.adopted && r.stateSince < sent
 }
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -126,7 +126,7 @@
 		c.checkUnansweredOrder(r)
 	case present, unconfirmed:
 		if sent > r.stateSince {
-			if r.orderUnanswered() && r.ofEarlierProcess() {
+			if r.copyMayBeLate(sent) && r.ofEarlierProcess() {
 				c.stopRun(r, "its worker has started anew")
 				return
 			}
--- a/controller/stray.go
+++ b/controller/stray.go
@@ -58,6 +58,11 @@
 	return r != nil && r.number == key.run && r.node == n
 }
 
+// copyMayBeLate reports whether a copy of a run's order that got no answer may still be under way.
+func (r *run) copyMayBeLate(now clock.Millis) bool {
+	return r.orderUnanswered() && now <= r.unansweredAt+maxOrderDelay
+}
+
 // mayStartLate reports whether a copy of a run's order that got no answer may still be carried out by a
 // process of the worker that has not answered yet, or whether the run that it started may still be there:
 // such a process grants the lease anew. Tasks that last don't wait for that, since they have to be at work
--- a/controller/waits_test.go
+++ b/controller/waits_test.go
@@ -45,6 +45,19 @@
 		Eventually(c.workers[1].Running, maxIdle).Should(Equal(1))
 	})
 
+	It("does not wait for the stop of a run whose order was unanswered once, long before its worker restarted", func() {
+		c, i := newLeader(1)
+		c.workers[0].LoseStartAnswers(1)
+		i.submit(jobID(2), long)
+		Eventually(c.workers[0].Running, shortTimeout).Should(Equal(1))
+		Eventually(func() int { return i.unansweredRuns(jobID(2)) }, shortTimeout).Should(Equal(1))
+		time.Sleep(20 * time.Second) // no copy is under way any more, by the record of an earlier leader either
+		i.set(func(h *hooks) { h.loseStops = true })
+		c.addWorker("i-9")
+		c.workers[0].Restart()
+		Eventually(func() int { return len(c.starts(task)) }, maxIdle).Should(Equal(2))
+	})
+
 	It("does not run beside a late order of which a new leader does not know", func() {
 		c, i := newLeader(1)
 		time.Sleep(4 * time.Second) // the clock of the process that is known is ahead of the next one's
