speed, planner, controller: keep urgent work on workers that are fast enough

Cause: on workers of three unannounced speeds (0.6, 1, 1.6) an urgent gang with one slow member is late even if it starts at once. Speeds were learned only when runs ended, as one number that can't tell slow from unknown, and a gang in one rack took the tightest rack whatever its workers' speeds.

Change: the progress of all runs is compared at each poll, within a step; a worker's speed is a distribution whose prior follows from the fleet's spread. While a fleet is uneven, urgent units carry the speed that they need, other work takes unknown and slow workers first, and headroom counts only workers that are surely fast enough. Even fleets are planned as before.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -155,6 +155,8 @@
 	// demandPeaks is, by service, the recent peak of the number of accelerators that urgent
 	// work used or waited for.
 	demandPeaks map[string]*peak.Peak
+	// fleets is what is known of the speeds of the workers of each service.
+	fleets fleets
 	// runTimes predicts the run times of tasks, by queue.
 	runTimes *estimate.Estimator[string]
 	// readingNotices is set while notices are being read from the store.
@@ -275,7 +277,7 @@
 	c.invalidEntries = make(map[string]uint64)
 	c.dirty = make(map[*job]bool)
 	c.unreachable = nil
-	c.demandPeaks = make(map[string]*peak.Peak)
+	c.demandPeaks, c.fleets = make(map[string]*peak.Peak), newFleets()
 	c.runTimes = estimate.New[string]()
 	c.loadJobs(term)
 	c.workersMirror = mirror.New(mirror.Options{
@@ -388,6 +390,7 @@
 	for _, n := range c.nodes {
 		c.checkNodeTimeouts(n, now)
 	}
+	c.updateFleets(now)
 	c.listHosts(now)
 	c.recordJobStarts(now)
 	c.shareUnrecordedEnds(now)
--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -42,6 +42,7 @@
 	n.process++
 	n.workerStart, n.handledEnd, n.ackedEnd, n.ackSent, n.unackedEnds = start, 0, 0, 0, nil
 	n.clockReadAt, n.slowUntil, n.fullDelay = 0, 0, 0
+	n.speed.Fade(restartFade)
 	clear(n.unknownRuns)
 	for r := range n.runs {
 		if r.state == stopping {
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -103,8 +103,10 @@
 	// fullDelay is how long the worker gets no new tasks if it rejects one more order for lack of
 	// room.
 	fullDelay clock.Millis
-	// speed is the worker's usual speed, without phases in which it was far slower than others.
-	speed speed.Mean
+	// speed is what the runs that have ended show of the worker's usual speed, without phases in which it was
+	// far slower than others. speedNow also counts the runs that are present; its zero value is an unknown speed.
+	speed    speed.Mean
+	speedNow speed.Estimate
 	// slowUntil is the time until which the worker counts as far slower than others.
 	slowUntil clock.Millis
 	// liveness is what the last list of the hosts told of the worker while it was silent, and absences the number
--- a/controller/pace.go
+++ b/controller/pace.go
@@ -105,9 +105,10 @@
 		for _, r := range p.runs() {
 			// The members of a gang are remote together, and can still be compared.
 			if r.pace.totalTime > 0 && (p.step.Gang || !p.runsRemotely(r)) {
-				r.node.updateSlowness(r.pace.totalTime/taskDuration, now)
+				r.node.updateSlowness(r.pace.totalTime*min(r.node.expectedSpeed(), 1)/taskDuration, now)
 			}
 		}
+		c.learnSpeeds(p, taskDuration)
 	}
 	if p.step.Gang {
 		c.restartIfStalled(p, p.runs(), taskDuration, now)
@@ -138,7 +139,7 @@
 	workers := make(map[*node]bool)
 	for _, t := range p.tasks {
 		if r := t.run; r != nil && r.pace.totalTime > 0 {
-			samples = append(samples, r.pace.totalTime*r.node.speed.Value())
+			samples = append(samples, r.pace.totalTime*r.node.expectedSpeed())
 			workers[r.node] = true
 		}
 	}
@@ -153,7 +154,7 @@
 }
 
 // updateSlowness marks a worker as slow or not after a measurement. ratio is a task's duration on
-// the worker divided by its duration on a worker of speed 1.
+// the worker divided by the duration that the worker's usual speed lets expect.
 func (n *node) updateSlowness(ratio float64, now clock.Millis) {
 	n.slowUntil = 0
 	if ratio > slowRatio {
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -44,7 +44,7 @@
 	if len(snap.input.Units) == 0 {
 		return
 	}
-	snap.input.Headroom = c.headroom(snap, now)
+	snap.input.Headroom, snap.input.TightSpeed = c.headroom(snap, now), c.tightSpeeds()
 	if now-c.lastStuckCheck >= stuckCheckInterval {
 		c.lastStuckCheck, snap.input.StuckAfter = now, stuckThreshold
 	}
@@ -90,7 +90,7 @@
 		c.assignRun(t, n, number, planned)
 		workerIDs = append(workerIDs, n.id)
 		racks[n.worker.Rack] = true
-		slowest = min(slowest, n.speed.Value())
+		slowest = min(slowest, n.expectedSpeed())
 	}
 	u := snap.input.Units[s.Unit]
 	c.opts.Log.WithFields(logrus.Fields{
@@ -164,7 +164,7 @@
 
 func (c *Controller) plannerNode(n *node, now clock.Millis) planner.Node {
 	p := planner.Node{
-		ID: n.id, Service: n.worker.Service, Rack: n.worker.Rack, Labels: n.worker.Labels, Capacity: n.shape(), Slow: n.isSlow(now), Speed: n.speed.Value(),
+		ID: n.id, Service: n.worker.Service, Rack: n.worker.Rack, Labels: n.worker.Labels, Capacity: n.shape(), Slow: n.isSlow(now), Speed: n.expectedSpeed(), SureSpeed: n.sureSpeed(),
 		Usable:  n.listed && n.pollAnswered && n.worker.State == agent.Ready && now >= n.noWorkUntil && len(n.unknownRuns) == 0 && !n.failing,
 		Suspect: now < n.suspectUntil, Quarantined: now < n.quarantinedUntil,
 	}
@@ -262,13 +262,15 @@
 		p.readySince = p.readyAt(begin, now)
 	}
 	objective := c.objective(j)
+	needed, late := c.neededSpeed(p, c.longestChainFrom(p), begin+objective, now)
 	u := planner.Unit{
 		Service: r.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: r.Priority, Guaranteed: guaranteed,
 		Shape: p.shape(), Count: len(waiting), Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
 		Rank: begin + objective, Waited: now - p.readySince, Estimate: c.predictRunTime(p),
-		Late:     !p.step.UntilCancelled && now+c.longestChainFrom(p) > begin+objective,
+		Late:     late && !p.step.UntilCancelled,
 		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
 		MaxLoss:  maxEvictionLoss(p, guaranteed),
+		MinSpeed: needed,
 	}
 	u.TasksOnNode = make(map[int]int)
 	u.Avoid = make(map[int]bool)
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutsail/chestnutsail/agent"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/planner"
+	"github.com/chestnutsail/chestnutsail/speed"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -54,6 +55,8 @@
 	lastSeen  clock.Millis
 	stallTime clock.Millis
 	pace      pace
+	// sample is what the run shows of the speed of its worker.
+	sample speed.Sample
 	// resumed reports whether the run started from a checkpoint. adopted reports whether an
 	// earlier leader started it, so that its run time before firstSeen is not known.
 	resumed bool
@@ -279,6 +282,9 @@
 // is done. If a member of a gang ended without success, the rest of the gang is stopped.
 func (c *Controller) removeRun(r *run, reason agent.EndReason, shownBy evidence, checkpoint string) {
 	t := r.task
+	if r.node.runs[r] {
+		r.node.speed.Add(r.sample)
+	}
 	delete(r.node.runs, r)
 	if t.run != r {
 		return
--- a/controller/runtimes.go
+++ b/controller/runtimes.go
@@ -46,38 +46,13 @@
 	}
 	duration := float64(now - r.firstSeen)
 	if p.step.Gang {
-		p.compareMembers()
 		p.measured.add(duration * p.slowestSpeed())
 		return
 	}
 	if p.measured.tasks >= minSpeedPeers && duration > 0 {
-		r.node.speed.Add(float64(p.measured.mean()), duration, speed.TaskWeight)
-	}
-	p.measured.add(duration * r.node.speed.Value())
-}
-
-// compareMembers learns the speeds of the workers of a gang that has ended from the progress of
-// its members. The gang must still have its runs.
-func (p *part) compareMembers() {
-	median, known := p.taskDuration()
-	if !known {
-		return
-	}
-	var compared []*run
-	logSum := 0.0
-	for _, r := range p.runs() {
-		if r.pace.totalTime > 0 && r.pace.totalTime < slowRatio*median {
-			compared = append(compared, r)
-			logSum += math.Log(r.pace.totalTime * r.node.speed.Value())
-		}
-	}
-	if len(compared) < 2 {
-		return
-	}
-	reference := math.Exp(logSum / float64(len(compared)))
-	for _, r := range compared {
-		r.node.speed.Add(reference, r.pace.totalTime, speed.MemberWeight)
+		r.sample = speed.Compare(float64(p.measured.mean()), duration, speed.TaskWeight)
 	}
+	p.measured.add(duration * r.node.expectedSpeed())
 }
 
 // slowestSpeed returns the speed of the slowest worker that a part runs on. A gang takes as long as
@@ -85,7 +60,7 @@
 func (p *part) slowestSpeed() float64 {
 	slowest := math.Inf(1)
 	for _, r := range p.runs() {
-		slowest = min(slowest, r.node.speed.Value())
+		slowest = min(slowest, r.node.expectedSpeed())
 	}
 	return slowest
 }
--- a/planner/headroom.go
+++ b/planner/headroom.go
@@ -27,7 +27,7 @@
 	for _, rack := range racks {
 		for _, n := range p.byRack[rack] {
 			node := &p.Nodes[n]
-			if missing[node.Service] <= 0 || !node.Usable || node.Quarantined {
+			if missing[node.Service] <= 0 || !node.Usable || node.Quarantined || !p.suitsUrgent(node) {
 				continue
 			}
 			p.urgentOnly[n] = true
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -8,6 +8,8 @@
 
 const (
 	noObstacle obstacle = iota
+	// tooSlowNode nodes are expected to be slower than the unit needs.
+	tooSlowNode
 	// urgentOnlyNode nodes are kept free for urgent units.
 	urgentOnlyNode
 	// reservedNode nodes are reserved for a waiting gang.
@@ -44,6 +46,8 @@
 		return reservedNode
 	case p.urgentOnly[n] && !p.mayUseHeadroom(u):
 		return urgentOnlyNode
+	case node.Speed < u.MinSpeed:
+		return tooSlowNode
 	}
 	return noObstacle
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -53,12 +53,13 @@
 	sameRack     bool
 	lastAttempt  bool
 	usesHeadroom bool
+	minSpeed     float64
 }
 
 // requirementsOf returns the requirements of a unit. complete is false if the unit also has
 // avoided nodes or a limit for each worker, which are not part of the requirements.
 func (p *plan) requirementsOf(u *Unit) (requirements, bool) {
-	req := requirements{shape: u.Shape, service: u.Service, label: u.Label, gang: u.Gang, lastAttempt: u.LastAttempt, usesHeadroom: p.mayUseHeadroom(u)}
+	req := requirements{shape: u.Shape, service: u.Service, label: u.Label, gang: u.Gang, lastAttempt: u.LastAttempt, usesHeadroom: p.mayUseHeadroom(u), minSpeed: u.MinSpeed}
 	if u.DataRack != "" && p.shouldWaitForData(u) {
 		req.rack = u.DataRack
 	}
@@ -167,21 +168,22 @@
 }
 
 // placeInOneRack places a unit within a single rack. Of the racks where the unit fits, it takes
-// the one with the fewest available accelerators. It returns nil if there is none.
+// one where the unit needs the fewest nodes that may be too slow for it, and of these the one with the
+// fewest available accelerators. It returns nil if there is none.
 func (p *plan) placeInOneRack(u *Unit, available func(n int) Shape) []int {
 	var best []int
-	leastUnused := math.MaxInt
+	fewestDoubtful, leastUnused := math.MaxInt, math.MaxInt
 	for _, rack := range p.racks {
 		nodes := p.pack(u, p.byRack[rack], available, noObstacle)
 		if nodes == nil {
 			continue
 		}
-		unused := 0
+		unused, doubtful := 0, p.countDoubtful(u, nodes)
 		for _, n := range p.byRack[rack] {
 			unused += available(n).Accels
 		}
-		if unused < leastUnused {
-			best, leastUnused = nodes, unused
+		if cmp.Or(cmp.Compare(doubtful, fewestDoubtful), cmp.Compare(unused, leastUnused)) < 0 {
+			best, fewestDoubtful, leastUnused = nodes, doubtful, unused
 		}
 	}
 	return best
@@ -247,7 +249,7 @@
 	var key sortKey
 	key.addFlag(node.Suspect)
 	key.addFlag(node.Slow)
-	key.add(slownessRank(u, node), speedBits)
+	key.add(p.speedRank(u, node), speedBits)
 	key.addFlag(u.DataRack != "" && node.Rack != u.DataRack)
 	key.add(available.Accels, accelBits)
 	key.add(p.rackFree[p.rackOf[n]], rackBits)
@@ -272,16 +274,3 @@
 	}
 	k.add(value, flagBits)
 }
-
-// speedStep is the resolution at which the speeds of nodes are compared.
-const speedStep = 0.1
-
-// slownessRank returns a lower number for faster nodes if the unit is urgent, because the
-// latency objective of urgent work is a small multiple of its run time. It returns 0 for other
-// units, which do not prefer faster nodes.
-func slownessRank(u *Unit, node *Node) int {
-	if u.Priority > 0 {
-		return 0
-	}
-	return 1<<speedBits/2 - int(math.Round(node.Speed/speedStep))
-}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -107,8 +107,10 @@
 	// row: they get new tasks only from units that have waited for too long.
 	Suspect     bool
 	Quarantined bool
-	// Speed is the usual speed of the node relative to others; 1 is average.
-	Speed float64
+	// Speed is the expected speed of the node relative to others; 1 is average. SureSpeed is a speed that
+	// it almost surely reaches.
+	Speed     float64
+	SureSpeed float64
 	// Slow nodes were recently measured to be far slower than others.
 	Slow bool
 }
@@ -148,6 +150,9 @@
 	Rank     clock.Millis
 	Waited   clock.Millis
 	Estimate clock.Millis
+	// MinSpeed is the speed of a node that the unit needs to meet the latency objective of its job; 0 means
+	// that the speed does not matter.
+	MinSpeed float64
 	// MaxLoss is the largest cost in core-seconds of the evictions that the unit may cause.
 	MaxLoss float64
 }
@@ -173,6 +178,9 @@
 	// Headroom is the number of accelerators that are kept free for urgent units that arrive
 	// later, by service. Units of other priorities normally do not use them.
 	Headroom map[string]int
+	// TightSpeed is, by service whose nodes differ much in speed, the speed that urgent units need at least to
+	// meet their objectives.
+	TightSpeed map[string]float64
 	// StuckAfter is the time in milliseconds after which a unit that still waits although there
 	// are resources for it is reported as stuck; 0 disables these reports.
 	StuckAfter clock.Millis
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -25,6 +25,8 @@
 	placements map[int][][]int
 	// headroom is the number of accelerators that the planner keeps free for urgent units.
 	headroom int
+	// tight is Input.TightSpeed.
+	tight map[string]float64
 }
 
 func newCluster(racks, workersPerRack int) *cluster {
@@ -49,7 +51,7 @@
 // input returns the planner's input. unitIndex gives the cluster's unit for each unit of the input,
 // and placementOf the cluster's unit and placement for each piece of running work of the input.
 func (s *cluster) input() (planner.Input, []int, [][2]int) {
-	in := planner.Input{Nodes: append([]planner.Node(nil), s.nodes...), Headroom: map[string]int{"svc": s.headroom}}
+	in := planner.Input{Nodes: append([]planner.Node(nil), s.nodes...), Headroom: map[string]int{"svc": s.headroom}, TightSpeed: s.tight}
 	for i := range in.Nodes {
 		in.Nodes[i].Free, in.Nodes[i].FreeSoon = in.Nodes[i].Capacity, in.Nodes[i].Capacity
 	}
