speeds, controller: keep measured speeds across changes of leader

Change: while a fleet is uneven, the leader writes what it measured to one key every 5 s, under the condition that it still leads; the next one reads it once. The stand-in workers have a speed. A spec: urgent gangs run on fast workers only, also right after a change of leader; without the key it fails (timed out after 30 s, 1 of 1).

--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -198,6 +198,7 @@
 		c.opts.Log.WithFields(logrus.Fields{"worker": worker.ID, "state": string(worker.State), "remaining_ms": int64(worker.Remaining), "version": e.Version}).Info("controller: worker state changed")
 	}
 	n.worker, n.listed = worker, true
+	c.adoptSpeed(n)
 	if c.workersListed && !n.pollAnswered {
 		c.poll(n)
 	}
--- a/controller/speeds.go
+++ b/controller/speeds.go
@@ -60,10 +60,12 @@
 	fastest float64
 }
 
-// fleets holds what is known of the speeds of the workers by service, as of updatedAt.
+// fleets holds what is known of the speeds of the workers by service, as of updatedAt, and what an earlier
+// leader has measured.
 type fleets struct {
 	byService map[string]serviceSpeeds
 	updatedAt clock.Millis
+	history   speedHistory
 }
 
 func newFleets() fleets { return fleets{byService: make(map[string]serviceSpeeds)} }
@@ -94,6 +96,7 @@
 		c.updateSpeed(n)
 	}
 	c.countSpeeds()
+	c.keepSpeedHistory(now)
 }
 
 // countSpeeds updates the metrics of what is known of the workers' speeds.
