controller, fleet: start nothing in failure domains to be evacuated

Cause: no code read op/evacuate/DOMAIN.

Change: the watch of op/config becomes one of op/ where the settings name evacuationMs, so no call is added. evacuation.Requests holds what it tells. The leader leaves the workers of such a domain out of plans, and passes no order to them: a run that was not ordered is removed, one whose order got no answer is stopped, as on a worker that drains. A new leader lists the requests before it orders anything (one read a term). If the store has not confirmed them for evacuationMs less 1.5 s, nothing starts anywhere. What runs goes on.

Ruled out: a condition on the writes of placements (says nothing of repeated orders, and a refusal costs a read of each job in the write).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -26,6 +26,7 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/counters"
 	"github.com/chestnutsail/chestnutsail/estimate"
+	"github.com/chestnutsail/chestnutsail/evacuation"
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/mirror"
 	"github.com/chestnutsail/chestnutsail/peak"
@@ -92,6 +93,10 @@
 	// ShareEnds makes ends of jobs known that the store does not record. It must not block; nil
 	// means that ends are not shared.
 	ShareEnds func(term uint64, ends []board.End)
+	// Evacuations holds the requests to evacuate failure domains; nil means that there are none. The keys of the
+	// requests in the store consist of EvacuationsPrefix and the domain.
+	Evacuations       *evacuation.Requests
+	EvacuationsPrefix string
 	// Config returns the current configuration.
 	Config func() *site.Config
 	// Limits returns the current time limits.
@@ -156,7 +161,8 @@
 	// work used or waited for.
 	demandPeaks map[string]*peak.Peak
 	// runTimes predicts the run times of tasks, by queue.
-	runTimes *estimate.Estimator[string]
+	runTimes    *estimate.Estimator[string]
+	evacuations *evacuations
 	// readingNotices is set while notices are being read from the store.
 	readingNotices bool
 	// listingHosts is set while the hosts are being listed; nextHostList is the earliest time of the next list.
@@ -178,6 +184,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{opts: opts, events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel}
+	c.evacuations = c.newEvacuations()
 	opts.Board.Watch(func(v board.View) { c.postAsync(func() { c.onJobChange(v) }) })
 	c.done.Go(c.run)
 	return c
@@ -278,6 +285,7 @@
 	c.demandPeaks = make(map[string]*peak.Peak)
 	c.runTimes = estimate.New[string]()
 	c.loadJobs(term)
+	c.listEvacuations(term)
 	c.workersMirror = mirror.New(mirror.Options{
 		Store: c.opts.Store, Prefix: c.opts.Prefix, Clock: c.opts.Clock, Log: c.opts.Log,
 		MinInterval: func() clock.Millis { return workersWatchInterval },
@@ -286,14 +294,6 @@
 	})
 }
 
-// RetriesMetric returns the name of the metric that counts the calls retried for a reason.
-func RetriesMetric(reason string) string {
-	return `chestnutsail_retries_total{reason="` + reason + `"}`
-}
-
-// countRetry counts a call that is retried for a reason.
-func (c *Controller) countRetry(reason string) { c.opts.Counters.Counter(RetriesMetric(reason)).Inc() }
-
 // runInTerm runs f if term is still the current term.
 func (c *Controller) runInTerm(term uint64, f func()) {
 	if c.term == term {
@@ -313,6 +313,7 @@
 	// Calls in flight are not cancelled. Their results are ignored because the term is over.
 	c.term, c.jobsLoaded, c.workersListed, c.flushing, c.planNeeded, c.readingNotices, c.listingHosts = 0, false, false, false, false, false, false
 	c.jobs, c.nodes, c.dirty, c.workersMirror, c.queuedOrders, c.ordersInFlight = nil, nil, nil, nil, nil, 0
+	c.evacuations.reset()
 }
 
 // loadJobs reads all jobs from the store and retries until that succeeds. Other leaders may
@@ -393,5 +394,6 @@
 	c.shareUnrecordedEnds(now)
 	c.deleteExpiredJobs(now)
 	c.readNotices(now)
+	c.checkEvacuations()
 	c.planNeeded = true
 }
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -39,6 +39,8 @@
 	reportInterval clock.Millis
 	// leaderTTL is how long an instance may go on believing that it leads; 0 means that it does not.
 	leaderTTL clock.Millis
+	// evacuable reports whether failure domains may be evacuated.
+	evacuable bool
 }
 
 func newCluster(workers int) *cluster { return newClusterWithLease(workers, lease) }
@@ -153,6 +155,7 @@
 		hosts = platform.NewHostClient(c.hosts.Address())
 	}
 	i.runner = controller.New(controller.Options{
+		Evacuations: c.followEvacuations(i, clk, entry), EvacuationsPrefix: platform.EvacuationPrefix,
 		Store: i.hooks, Workers: i.hooks, Hosts: hosts, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: func() *site.Config { return queues },
 		Limits: func() controller.Limits {
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -48,7 +48,7 @@
 
 // sendDueOrder sends an order at the head of the queue. The lease is requested only now: what is known
 // of the worker may have changed while the order waited, and so may the leadership. A worker that drains
-// gets no order, not even a copy of one without an answer. If the lease must not be renewed, a run that has
+// gets no order, not even a copy of one without an answer, nor does one in an evacuated failure domain. If the lease must not be renewed, a run that has
 // not been ordered yet is removed, an order that could not be sent waits for maxRenewalSilence at most, and one
 // without an answer waits.
 func (c *Controller) sendDueOrder(r *run, order agent.Order) {
@@ -64,6 +64,9 @@
 		}
 		return
 	}
+	if c.withholdOrder(r, order) {
+		return
+	}
 	if r.isUnsendable(c.opts.Clock.Now()) {
 		r.node.avoid(c.opts.Clock.Now())
 		c.removeUnordered(r, "no connection to its worker was opened")
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -115,7 +115,7 @@
 
 // snapshot returns the input of a plan made at the time now.
 func (c *Controller) snapshot(now clock.Millis) *snapshot {
-	unreachable := c.unreachableDomains(now)
+	unreachable, closed := c.unreachableDomains(now), c.closedDomains()
 	snap := &snapshot{nodeIndex: make(map[*node]int, len(c.nodes))}
 	for _, n := range c.nodes {
 		snap.nodes = append(snap.nodes, n)
@@ -124,7 +124,7 @@
 	for i, n := range snap.nodes {
 		snap.nodeIndex[n] = i
 		p := c.plannerNode(n, now)
-		p.Usable = p.Usable && !unreachable[n.worker.Domain]
+		p.Usable = p.Usable && !unreachable[n.worker.Domain] && !closed(n.worker.Domain)
 		snap.input.Nodes = append(snap.input.Nodes, p)
 	}
 	guaranteed := c.guaranteedJobs()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,7 @@
 	"github.com/chestnutsail/chestnutsail/controller"
 	"github.com/chestnutsail/chestnutsail/counters"
 	"github.com/chestnutsail/chestnutsail/election"
+	"github.com/chestnutsail/chestnutsail/evacuation"
 	"github.com/chestnutsail/chestnutsail/health"
 	"github.com/chestnutsail/chestnutsail/heartbeat"
 	"github.com/chestnutsail/chestnutsail/intake"
@@ -95,6 +96,8 @@
 	newestVersion atomic.Int64
 	bounds        atomic.Pointer[platform.Bounds]
 	board         *board.Board
+	// evacuations is nil if the operators make no such requests.
+	evacuations   *evacuation.Requests
 	configMirror  *mirror.Mirror
 	jobMirror     *mirror.Mirror
 	roster        *roster.Roster
@@ -189,17 +192,7 @@
 		Probe: func(ctx context.Context) error { return store.Probe(ctx, board.LeaderKey) },
 	})
 	i.kernel.Add("health", i.storeHealth)
-	i.configMirror = mirror.New(mirror.Options{
-		Store: store, Prefix: platform.ConfigKey, Clock: i.clock, Log: log,
-		Replace: func(entries []kv.Entry) { i.applyConfig(entries) },
-		Apply: func(changes []kv.Change) {
-			for _, c := range changes {
-				if !c.Deleted {
-					i.applyConfig([]kv.Entry{c.Entry})
-				}
-			}
-		},
-	})
+	i.followOperator(store)
 	i.kernel.Add("config", i.configMirror)
 	var jobController *controller.Controller
 	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Domain: s.Domain, Strength: strength(s), Address: i.peerAddress(), Clock: i.clock, Log: log})
@@ -221,6 +214,7 @@
 		Store: store, Workers: platform.NewWorkerClient(), Hosts: hosts, Board: i.board, PageTimeout: pageTimeout(s),
 		Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.election.Term, Config: i.config.Load, SinceStoreChange: func() clock.Millis { return i.jobMirror.SinceChange() },
+		Evacuations: i.evacuations, EvacuationsPrefix: platform.EvacuationPrefix,
 		Limits: i.limits, LeaderTTL: election.DefaultTTL, ShareEnds: i.witness.Share,
 		Clock: i.clock, Counters: i.counters, Log: log,
 	})
