warmup: fill workers that are cold as they warm

Cause: the workers of a failure domain may be cold when its evacuation is taken back, and a worker's coldRemainingMs was not read. A cold worker would be filled at once, and urgent work would go there as to any other.

Change: while a worker is cold, its capacity and its speed count for half at first and for all at the end of its cold time. A value that is no time counts as warm, so no entry becomes invalid by it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -181,6 +181,8 @@
 	StartedAt clock.Millis
 	// Remaining is the shortest time in milliseconds until a draining worker may shut down.
 	Remaining clock.Millis
+	// ColdRemaining is the time in milliseconds for which the worker stays slow after its start; 0 if it is warm.
+	ColdRemaining clock.Millis
 	// Host is the name of the host that the worker runs on; "" if the worker does not report it.
 	Host string
 }
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/planner"
 	"github.com/chestnutsail/chestnutsail/speed"
+	"github.com/chestnutsail/chestnutsail/warmup"
 )
 
 const (
@@ -105,6 +106,8 @@
 	fullDelay clock.Millis
 	// speed is the worker's usual speed, without phases in which it was far slower than others.
 	speed speed.Mean
+	// warmup tells what the worker is worth while it is cold.
+	warmup warmup.State
 	// slowUntil is the time until which the worker counts as far slower than others.
 	slowUntil clock.Millis
 	// liveness is what the last list of the hosts told of the worker while it was silent, and absences the number
@@ -196,6 +199,7 @@
 		c.opts.Log.WithFields(logrus.Fields{"worker": worker.ID, "state": string(worker.State), "remaining_ms": int64(worker.Remaining), "version": e.Version}).Info("controller: worker state changed")
 	}
 	n.worker, n.listed = worker, true
+	n.warmup.Observe(c.opts.Clock.Now(), worker.ColdRemaining)
 	if c.workersListed && !n.pollAnswered {
 		c.poll(n)
 	}
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -168,6 +168,9 @@
 		Usable:  n.listed && n.pollAnswered && n.worker.State == agent.Ready && now >= n.noWorkUntil && len(n.unknownRuns) == 0 && !n.failing,
 		Suspect: now < n.suspectUntil, Quarantined: now < n.quarantinedUntil,
 	}
+	if worth := n.warmup.Worth(now); worth < 1 {
+		p.Capacity, p.Speed = p.Capacity.Scale(worth), p.Speed*worth
+	}
 	p.Free = p.Capacity
 	p.FreeSoon = p.Capacity
 	for r := range n.runs {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -41,6 +41,11 @@
 // Times returns n times s.
 func (s Shape) Times(n int) Shape { return Shape{s.Cores * n, s.Memory * n, s.Accels * n} }
 
+// Scale returns s times a factor, rounded down in each dimension.
+func (s Shape) Scale(factor float64) Shape {
+	return Shape{int(float64(s.Cores) * factor), int(float64(s.Memory) * factor), int(float64(s.Accels) * factor)}
+}
+
 // Slots returns how many tasks of the given shape fit into s, at most maxSlots.
 func (s Shape) Slots(task Shape) int {
 	n := limitSlots(maxSlots, s.Accels, task.Accels)
