--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/planner"
 	"github.com/chestnutsail/chestnutsail/speed"
+	"github.com/chestnutsail/chestnutsail/warmup"
 )
 
 const (
@@ -107,6 +108,8 @@
 	// far slower than others. speedNow also counts the runs that are present; its zero value is an unknown speed.
 	speed    speed.Mean
 	speedNow speed.Estimate
+	// warmup tells what the worker is worth while it is cold.
+	warmup warmup.State
 	// slowUntil is the time until which the worker counts as far slower than others.
 	slowUntil clock.Millis
 	// liveness is what the last list of the hosts told of the worker while it was silent, and absences the number
@@ -199,6 +202,7 @@
 	}
 	n.worker, n.listed = worker, true
 	c.adoptSpeed(n)
+	n.warmup.Observe(c.opts.Clock.Now(), worker.ColdRemaining)
 	if c.workersListed && !n.pollAnswered {
 		c.poll(n)
 	}
