fleet: stay within memory and descriptors whatever clients send

Cause: heads of up to 1 MB, bodies of up to 1 MB before the key was checked and for as long as the client liked, and connections without a bound.

Change: each address of an instance gets a share of the memory and descriptors of the settings. Idle and stalled connections are closed first; bodies take memory as they arrive, make way after 0.5 s without a byte, and end after 4 s without one or 10 s in all; heads have 16 KiB and 128 lines; a write has 10 s. Queue and key are checked before the body is read and again after it. Steps are counted while they are decoded. A refusal without its body closes the connection, unless the body is small.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -159,10 +159,10 @@
 	ready.HandleFunc("GET "+platform.ReadyPath, i.serveReadiness)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", i.counters)
-	if err := i.listenAndServe(s.CallerAddress, alice.New(i.closeWhenUnavailable).Then(callers)); err != nil {
+	if err := i.listenAndServe(s.CallerAddress, callerShare, alice.New(i.closeWhenUnavailable).Then(callers)); err != nil {
 		return err
 	}
-	if err := i.listenAndServe(s.ReadyAddress, ready); err != nil {
+	if err := i.listenAndServe(s.ReadyAddress, healthShare, ready); err != nil {
 		return err
 	}
 	if address := i.peerAddress(); address != "" {
@@ -170,14 +170,14 @@
 		mux.Handle("POST "+witness.Path, i.witness)
 		mux.Handle("GET "+heartbeat.Path, heartbeat.NewHandler(i.election.IsRenewing))
 		mux.Handle("/", peers)
-		if err := i.listenAndServe(address, mux); err != nil {
+		if err := i.listenAndServe(address, peerShare, mux); err != nil {
 			return err
 		}
 	}
 	if i.opts.Metrics == 0 {
 		return nil
 	}
-	return i.listenAndServe(net.JoinHostPort(s.IP, strconv.Itoa(i.opts.Metrics)), metrics)
+	return i.listenAndServe(net.JoinHostPort(s.IP, strconv.Itoa(i.opts.Metrics)), metricsShare, metrics)
 }
 
 // buildServices creates the services and adds them to the kernel, which starts them in that order and stops
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/inflight"
 )
 
 // drainPollInterval is the time in milliseconds between two checks whether connections are open.
@@ -17,24 +18,34 @@
 type server struct {
 	http.Server
 	listener net.Listener
+	clock    *clock.Clock
+	// refused counts what is refused to clients.
+	refused func(reason string)
 	// conns is the number of open connections.
 	conns atomic.Int64
 	// served is closed once Serve has returned.
 	served chan struct{}
 }
 
-func (i *Instance) listenAndServe(address string, handler http.Handler) error {
+// slotKey is the key of the connection's slot in the context of a request.
+type slotKey struct{}
+
+// listenAndServe serves an address, whose clients get a share of what clients may use.
+func (i *Instance) listenAndServe(address string, share clientShare, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	s := &server{listener: listener, served: make(chan struct{})}
-	s.Handler, s.ConnState = handler, s.countConns
-	s.ReadHeaderTimeout, s.IdleTimeout = headerTimeout.Duration(), idleTimeout.Duration()
+	s := &server{clock: i.clock, refused: i.countRefusal, served: make(chan struct{})}
+	bounds := clientBounds(i.opts.Settings, share)
+	bounds.OnEvict = func() { i.countRefusal(refusedIdle) }
+	s.listener = &clientListener{Listener: listener, limiter: inflight.New(bounds), clock: i.clock, refused: i.countRefusal}
+	s.Handler, s.ConnState, s.ConnContext = s.boundBody(handler), s.observe, withSlot
+	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout.Duration(), idleTimeout.Duration(), maxHeadBytes
 	i.servers = append(i.servers, s)
 	go func() {
 		defer close(s.served)
-		err := s.Serve(listener)
+		err := s.Serve(s.listener)
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			i.opts.Log.WithError(err).WithField("address", address).Error("fleet: HTTP server failed")
 		}
@@ -42,10 +53,27 @@
 	return nil
 }
 
-func (s *server) countConns(_ net.Conn, state http.ConnState) {
+func withSlot(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*clientConn); ok {
+		return context.WithValue(ctx, slotKey{}, c.slot)
+	}
+	return ctx
+}
+
+// observe counts the open connections and follows what each of them is used for.
+func (s *server) observe(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*clientConn)
 	switch state {
 	case http.StateNew:
 		s.conns.Add(1)
+	case http.StateActive:
+		if ok {
+			c.serve()
+		}
+	case http.StateIdle:
+		if ok {
+			c.await()
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.conns.Add(-1)
 	}
