--- a/overload/instance_test.go
+++ b/overload/instance_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -99,6 +100,31 @@
 	return resp.StatusCode
 }
 
+// statusLine sends a request to the callers' address, in pieces as they come on a link of 10 Mbit/s, and
+// returns the first line of the answer, or "" if there is none.
+func (i *instance) statusLine(request string) string {
+	const piece = 4 << 10
+	conn, err := net.DialTimeout("tcp", i.settings.Callers, hangTimeout)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(hangTimeout))
+	for len(request) > 0 {
+		n := min(piece, len(request))
+		if _, err := conn.Write([]byte(request[:n])); err != nil {
+			return ""
+		}
+		request = request[n:]
+		time.Sleep(3 * time.Millisecond)
+	}
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil {
+		return ""
+	}
+	return line
+}
+
 // peakMemory returns the largest resident memory of the process so far, in megabytes.
 func (i *instance) peakMemory() int {
 	GinkgoHelper()
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 	"github.com/chestnutsail/chestnutsail/suite"
@@ -91,6 +92,12 @@
 	return start + strings.Repeat("a", maxBody-len(start)-len(end)) + end
 }
 
+// largeJob returns a valid job of the largest size that is allowed.
+func largeJob() string {
+	const job = `{"spec":"ms=1","steps":[{"count":1}]}`
+	return job + strings.Repeat(" ", maxBody-len(job))
+}
+
 // manySteps returns a body of the largest size that is allowed with as many steps as it can hold.
 func manySteps() string {
 	const start, end = `{"spec":"a","steps":[{}`, `]}`
@@ -102,7 +109,7 @@
 	return head(path) + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
 }
 
-func inChunks(path, body string, size int) string {
+func inChunks(body string, size int) string {
 	var b bytes.Buffer
 	b.WriteString(head(path) + "Transfer-Encoding: chunked\r\n\r\n")
 	for len(body) > 0 {
@@ -143,9 +150,9 @@
 		Entry("beside large bodies sent whole", callers, crowd{clients: 160, message: withLength(path, payload())}),
 		Entry("beside large bodies sent piece by piece", callers, crowd{clients: 160, message: withLength(path, payload()), piece: 8 << 10}),
 		Entry("beside large bodies of many steps", callers, crowd{clients: 40, message: withLength(path, manySteps()), whole: true}),
-		Entry("beside bodies in large chunks", callers, crowd{clients: 160, message: inChunks(path, payload(), 32<<10)}),
-		Entry("beside bodies in large chunks, piece by piece", callers, crowd{clients: 160, message: inChunks(path, payload(), 32<<10), piece: 8 << 10}),
-		Entry("beside bodies in chunks of one byte", callers, crowd{clients: 160, message: inChunks(path, payload(), 1)}),
+		Entry("beside bodies in large chunks", callers, crowd{clients: 160, message: inChunks(payload(), 32<<10)}),
+		Entry("beside bodies in large chunks, piece by piece", callers, crowd{clients: 160, message: inChunks(payload(), 32<<10), piece: 8 << 10}),
+		Entry("beside bodies in chunks of one byte", callers, crowd{clients: 160, message: inChunks(payload(), 1)}),
 		Entry("beside more connections than it has descriptors for", callers, crowd{clients: 300, message: "POST /q/", whole: true}),
 		Entry("beside bodies for other instances' port", (*instance).peers, crowd{clients: 160, message: withLength("/calls"+path, payload())}),
 		Entry("beside bodies for the witness", (*instance).peers, crowd{clients: 160, message: withLength(witness.Path, payload())}),
@@ -154,4 +161,15 @@
 		Entry("beside more connections to the health check than it has descriptors for", health, crowd{clients: 300, message: "GET /", whole: true}),
 		Entry("beside heads without end at the port for metrics", (*instance).metrics, crowd{clients: 60, message: head(path) + lines(), whole: true}),
 	)
+
+	DescribeTable("takes a request of the largest size", func(request string, c crowd) {
+		i := startInstance()
+		c.join(i.settings.Callers)
+		Eventually(func() string { return i.statusLine(request) }, hangTimeout).Should(HavePrefix("HTTP/1.1 200 "))
+		i.expectSound()
+	},
+		Entry("in calm", withLength(path, largeJob()), crowd{}),
+		Entry("in calm, in chunks", inChunks(largeJob(), 1000), crowd{}),
+		Entry("beside bodies that stop short of their end", withLength(path, largeJob()), crowd{clients: 160, message: withLength(path, payload())}),
+	)
 })
