--- a/fleet/body.go
+++ b/fleet/body.go
@@ -24,7 +24,7 @@
 	bodyMemory = 3
 	// smallBody is the size in bytes up to which a body is read also while there is no memory for larger
 	// ones, or although the request is refused.
-	smallBody = 8 << 10
+	smallBody = 16 << 10
 )
 
 // boundBody bounds the memory and time that the bodies of requests take.
