--- a/fleet/clients_test.go
+++ b/fleet/clients_test.go
@@ -55,6 +55,28 @@
 		Entry("empty lines", strings.Repeat("\r\n", 50), 400, true),
 	)
 
+	It("gives up a body that comes byte by byte", func() {
+		const body = 200
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(conn.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		_, err = fmt.Fprintf(conn, "POST /q/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", platformtest.Host, body)
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			for range body {
+				if _, err := conn.Write([]byte(" ")); err != nil {
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(resp.Body.Close)
+		Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+	})
+
 	It("answers the next request on a connection whose request it has refused", func() {
 		conn, err := net.Dial("tcp", address)
 		Expect(err).NotTo(HaveOccurred())
