soak: evacuate failure domains beside the other faults

Cause: no soak requested evacuations, so nothing showed the promise to the operators on real processes under faults.

Change: the workers stand in two failure domains, and a third sequence of faults asks to evacuate one of them for 3 to 6 s, again and again. A run that starts there 3 s after the request or later is a violation, unless its worker carried the order out late (now noted by the stand-in) or an instance was suspended in the second before.

--- a/soak/check.go
+++ b/soak/check.go
@@ -37,6 +37,7 @@
 		}
 	}
 	r.checkIdleJobs(intervals)
+	r.checkEvacuations()
 }
 
 // history returns the runs that all workers recorded.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,7 +24,10 @@
 
 func (r *run) injectStoreFault(detail string, configure func(*platformtest.Faults)) (string, func()) {
 	r.store.SetFaults(configure)
-	return detail, func() { r.store.SetFaults(func(f *platformtest.Faults) { *f = platformtest.Faults{} }) }
+	return detail, func() {
+		r.store.SetFaults(func(f *platformtest.Faults) { *f = platformtest.Faults{} })
+		r.watchesMute.Store(false)
+	}
 }
 
 func (r *run) restartFunc(p *process) func() {
@@ -44,7 +47,10 @@
 	{"pause", func(r *run, random *rand.Rand) (string, func()) {
 		p := r.randomInstance(random)
 		p.signal(syscall.SIGSTOP)
-		return fmt.Sprint("e", p.index), p.resume
+		return fmt.Sprint("e", p.index), func() {
+			p.resume()
+			r.resumedAt = append(r.resumedAt, time.Now())
+		}
 	}},
 	{"leave", func(r *run, random *rand.Rand) (string, func()) {
 		p := r.randomInstance(random)
@@ -72,6 +78,7 @@
 		case 3:
 			return r.injectStoreFault("applies writes late", func(f *platformtest.Faults) { f.DelayedWrites, f.WriteDelay = 3, time.Second })
 		case 4:
+			r.watchesMute.Store(true)
 			return r.injectStoreFault("watches report no changes", func(f *platformtest.Faults) { f.MuteWatches = true })
 		}
 		r.store.Compact()
--- a/soak/process.go
+++ b/soak/process.go
@@ -45,7 +45,7 @@
 	}
 	p.callerAddress, p.readyAddress = p.ports[0].address(), p.ports[1].address()
 	settings := platformtest.Instance{
-		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Peers: p.ports[2].port, Metrics: p.ports[3].port, Store: storeAddress, Lease: opts.Lease,
+		Name: fmt.Sprintf("e%d", index), Callers: p.callerAddress, Ready: p.readyAddress, Peers: p.ports[2].port, Metrics: p.ports[3].port, Store: storeAddress, Lease: opts.Lease, EvacuationTime: evacuationTime,
 	}
 	return p, settings.Write(p.configPath)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -17,10 +17,11 @@
 //     its history, or reports no changes to watches;
 //   - workers that drop the answers to start requests, answer them with the status of a proxy or
 //     carry them out late, that restart, drain, end and are replaced, and whose entries in the
-//     store are overwritten by another writer.
+//     store are overwritten by another writer;
+//   - failure domains that are to be evacuated.
 //
-// Two sequences of faults run beside each other, one of them with the faults of workers and their
-// links. In each, faults start one after another and may overlap. After the last one, a gang that wants one rack
+// Three sequences of faults run beside each other, one of them with the faults of workers and their
+// links, and one with evacuations. In each, faults start one after another and may overlap. After the last one, a gang that wants one rack
 // waits while long tasks hold a part of each rack, and the leader is restarted once.
 package soak
 
@@ -32,6 +33,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
@@ -124,6 +126,11 @@
 	processes []*process
 	// calmFrom is when the last fault ended, and observedUntil when the last state was asked for.
 	calmFrom, observedUntil time.Time
+	// evacuations are the requests that were made, resumedAt holds when suspended instances were resumed, and
+	// watchesMute is set while the store's watches report no changes.
+	evacuations []evacuation
+	resumedAt   []time.Time
+	watchesMute atomic.Bool
 
 	mu sync.Mutex
 	// ended holds the workers that have been replaced.
@@ -153,6 +160,7 @@
 	submitter.Go(func() { r.submitRackJobs(ctx) })
 	submitter.Go(func() { r.askStates(ctx) })
 	submitter.Go(func() { r.injectFaults(ctx, rand.New(rand.NewPCG(r.opts.Seed, 3)), r.opts.workerKinds()) })
+	submitter.Go(func() { r.evacuateDomains(ctx, rand.New(rand.NewPCG(r.opts.Seed, 4))) })
 	r.injectFaults(ctx, r.random, faultKinds)
 	submitter.Wait()
 	r.clearFaults()
@@ -295,6 +303,7 @@
 	for _, p := range r.proxies {
 		r.setMode(p, modeForward)
 	}
+	r.endEvacuations()
 	for _, s := range r.slots {
 		s.clearFaults()
 	}
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -30,7 +30,7 @@
 
 func (s *slot) newWorker(id string) *platformtest.Worker {
 	return platformtest.NewWorker(platformtest.WorkerOptions{
-		Store: s.run.store, ID: id, Rack: rackName(s.index), Lease: s.run.opts.Lease, GPU: workerAccels,
+		Store: s.run.store, ID: id, Domain: domainName(s.index), Rack: rackName(s.index), Lease: s.run.opts.Lease, GPU: workerAccels,
 		Address: func(own string) string {
 			s.proxy.setTarget(own)
 			return s.proxy.address()
