controller, platform: end the wait for a late order by a report

The lease covers a process that started later under the worker's ID and carried a copy out. A worker that is cut off from the instances may still report to the store, and its entry tells its start and its own clock.

Change: the leader reads the clock in the entries. Once the process that all copies went to was alive after the 15 s, no later process has got one, as a worker has one process at a time, and the longest lease is not waited for. The clock counts, not the arrival of the entry: the store may carry a write out late, and another writer may repeat an entry.

Within the 15 s nothing ends the wait: the process may end in the next moment, and the next one get the copy. A trial that took a copy as bound to the process whose connection it was sent on, or that answered a poll afterwards, ran a task twice at once with the stand-in, and was left out.

Specs (late_test.go): "if the same process has reported since" timed out without the proof and passes with it. "whoever repeats the earlier one's report" and "may carry out a copy for an earlier one" guard it: two runs at once if a report counts from its arrival, if one before the 15 s counts, or if any process may have written it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -179,6 +179,8 @@
 	// StartedAt is the Unix time in milliseconds at which the worker process started; 0 if the
 	// worker does not report it.
 	StartedAt clock.Millis
+	// Clock is the worker's clock when it wrote its entry; 0 if the worker does not report it.
+	Clock clock.Millis
 	// Remaining is the shortest time in milliseconds until a draining worker may shut down.
 	Remaining clock.Millis
 	// Host is the name of the host that the worker runs on; "" if the worker does not report it.
--- a/controller/late_test.go
+++ b/controller/late_test.go
@@ -14,7 +14,10 @@
 // The load is one long task on a worker that restarts unknown to the leader, is cut off, or carries an
 // order out late.
 var _ = Describe("an order or a lease of which the leader knows too little", func() {
-	const shortLease = 3 * clock.Second
+	const (
+		shortLease = 3 * clock.Second
+		longest    = 10 * clock.Second
+	)
 	long := workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}}
 	lastingStep := step(1)
 	lastingStep.UntilCancelled = true
@@ -30,7 +33,6 @@
 	}
 
 	It("counts the longest lease when the order may have reached a new process", func() {
-		const longest = 10 * clock.Second
 		c, i, first := newLeader(longest)
 		time.Sleep(5 * time.Second) // the clock of the process that is known is ahead of the next one's
 		first.Restart()
@@ -147,6 +149,62 @@
 		Expect(c.overlaps()).To(BeEmpty())
 	})
 
+	It("holds its task no longer than a copy may be late if the same process has reported since", func() {
+		c, i, first := newLeader(longest)
+		first.LoseStartAnswers(1)
+		i.submit(jobID(2), long)
+		Eventually(first.Running, shortTimeout).Should(Equal(1))
+		time.Sleep(200 * time.Millisecond)
+		first.HangCalls(true)
+		c.addWorker("i-9")
+		// A copy may be late by 15 s. The reports are reckoned by a clock that is 3 % fast, from when the last answered
+		// poll was sent, up to 2 s before the answer.
+		Consistently(c.workers[1].Running, 15*time.Second).Should(BeZero())
+		Eventually(func() int {
+			first.Register("ready")
+			return c.workers[1].Running()
+		}, 4*time.Second).Should(Equal(1))
+		Expect(c.overlaps()).To(BeEmpty())
+	})
+
+	It("holds its task while a process that starts later may carry it out, whoever repeats the earlier one's report", func() {
+		c, i, first := newLeader(longest)
+		first.DelayStarts(14*time.Second, 1)
+		i.submit(jobID(2), long)
+		Eventually(first.Running, shortTimeout, time.Millisecond).Should(Equal(1)) // the second copy
+		time.Sleep(500 * time.Millisecond)                                         // polls are answered
+		first.HangCalls(true)
+		c.addWorker("i-9")
+		Consistently(func() []string {
+			first.Register("ready")
+			return c.overlaps()
+		}, 7*time.Second, 500*time.Millisecond).Should(BeEmpty())
+		first.Restart()
+		Consistently(func() []string {
+			c.putEntry(first.ID(), nil)
+			return c.overlaps()
+		}, 9500*time.Millisecond, 500*time.Millisecond).Should(BeEmpty())
+		Expect(first.Running()).To(Equal(1)) // the late copy
+	})
+
+	It("holds its task while a process that has reported since may carry out a copy for an earlier one", func() {
+		c, i, first := newLeader(longest)
+		time.Sleep(9 * time.Second) // the clock of the earlier process is ahead of the later one's
+		first.DelayStarts(14500*time.Millisecond, 1)
+		i.submit(jobID(2), long)
+		Eventually(first.Running, shortTimeout, time.Millisecond).Should(Equal(1)) // the second copy
+		i.set(func(h *hooks) { h.loseStops = true })
+		first.Restart()
+		time.Sleep(1500 * time.Millisecond) // the later process has answered a poll
+		first.HangCalls(true)
+		c.addWorker("i-9")
+		Consistently(func() []string {
+			first.Register("ready")
+			return c.overlaps()
+		}, 16500*time.Millisecond, 500*time.Millisecond).Should(BeEmpty())
+		Expect(first.Running()).To(Equal(1)) // the late copy
+	})
+
 	It("does not hold a task that lasts", func() {
 		c, i, first := newLeader(shortLease)
 		first.DelayStarts(2500*time.Millisecond, 1)
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -57,6 +57,10 @@
 	// when the worker last answered any call; 0 before.
 	pollRetryAt clock.Millis
 	lastAnswer  clock.Millis
+	// seen is what the last answered poll told of the worker's process, and aliveAt is a time at which that
+	// process was certainly alive, as its entries in the store show; 0 if there is none.
+	seen    sighting
+	aliveAt clock.Millis
 	// failing reports whether a call has failed since the worker last answered.
 	failing bool
 	// refusing reports whether a call was refused, or was answered by another instance, since the
@@ -186,6 +190,7 @@
 		return
 	}
 	n := c.nodeByID(worker.ID)
+	n.readReport(worker)
 	if n.mayBeReplaced(worker) {
 		c.forgetClock(n)
 	}
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -114,6 +114,7 @@
 // maxInFlightTime at most: otherwise orders to unreachable workers would delay all others.
 func (c *Controller) sendOrder(r *run, order agent.Order) {
 	term, worker := c.term, r.node.worker
+	r.noteCopy()
 	c.ordersInFlight++
 	c.opts.Counters.Counter("chestnutsail_orders_total").Inc()
 	var once sync.Once
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -23,6 +23,7 @@
 	first := !n.pollAnswered
 	n.pollAnswered = true
 	c.recordAnswer(n, report.Clock, now)
+	n.see(report, sent)
 	n.listsEnds = len(report.Ended) > 0
 	for _, e := range report.Ended {
 		c.handleEnd(n, e)
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -64,6 +64,10 @@
 	// lease had expired.
 	unansweredAt clock.Millis
 	held         bool
+	// copied reports whether this leader has sent a copy of the order, and copiesTo is the start of the worker's
+	// process that all copies were sent to; 0 if that is not known.
+	copied   bool
+	copiesTo clock.Millis
 	// copiesUntil is the time in the job's record until which a later leader allows for copies of the order; 0
 	// if there is none.
 	copiesUntil clock.Millis
--- a/controller/stray.go
+++ b/controller/stray.go
@@ -66,9 +66,10 @@
 // mayStartLate reports whether a copy of a run's order that got no answer may still be carried out by a
 // process of the worker that has not answered yet, or whether the run that it started may still be there:
 // such a process grants the lease anew. Tasks that last don't wait for that, since they have to be at work
-// elsewhere a few seconds after the worker has failed.
+// elsewhere a few seconds after the worker has failed. Nothing ends the wait while a copy may be under way: the
+// process that is known may end, and another one begin, at any time.
 func (c *Controller) mayStartLate(r *run, now clock.Millis) bool {
-	return r.orderUnanswered() && !r.task.part.step.UntilCancelled && now < c.lateUntil(r)
+	return r.orderUnanswered() && !r.task.part.step.UntilCancelled && now < c.lateUntil(r) && !r.noneReachedLaterProcess()
 }
 
 // lateUntil returns when a run that a late order started has ended at the latest.
