--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -53,6 +53,8 @@
 	// done; 0 before, or if that is not known.
 	readySince clock.Millis
 	doneAt     clock.Millis
+	// deferredSince is when the part was first deferred, since there was too little room; 0 if it never was.
+	deferredSince clock.Millis
 	// measured holds the measured run times of finished tasks.
 	measured runTime
 }
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -55,8 +55,9 @@
 	for i := range out.Stuck {
 		c.reportStuck(snap, &out.Stuck[i], now)
 	}
+	c.noteDeferred(snap, out.Deferred, now)
 	for _, s := range out.Starts {
-		c.placeUnit(snap, s)
+		c.placeUnit(snap, s, now)
 	}
 	for _, workIndex := range out.Evict {
 		for _, r := range snap.runningWorkRuns[workIndex] {
@@ -68,7 +69,7 @@
 
 // placeUnit places waiting tasks of a part on workers, as the plan says. Members of a gang get
 // the same run number.
-func (c *Controller) placeUnit(snap *snapshot, s planner.Start) {
+func (c *Controller) placeUnit(snap *snapshot, s planner.Start, now clock.Millis) {
 	p := snap.unitParts[s.Unit]
 	waiting := p.waiting()
 	number := 1
@@ -97,7 +98,7 @@
 		"job": p.job.id, "occurrence": p.occurrence, "step": p.index, "tasks": len(s.Nodes), "of": u.Count, "run": number,
 		"workers": workerIDs, "waited_ms": int64(u.Waited), "priority": u.Priority, "guaranteed": u.Guaranteed, "late": u.Late, "hopeless": u.Hopeless, "term": c.term,
 		"racks": len(racks), "gang": u.Gang, "same_rack": u.SameRack, "data_rack": u.DataRack, "slowest": math.Round(100*slowest) / 100,
-		"declared_ms": int64(p.step.Estimate), "predicted_ms": int64(u.Estimate), "accels": u.Shape.Accels, "despite": string(s.Despite),
+		"declared_ms": int64(p.step.Estimate), "predicted_ms": int64(u.Estimate), "accels": u.Shape.Accels, "despite": string(s.Despite), "deferred_ms": int64(p.deferredFor(now)),
 	}).Info("controller: tasks are placed")
 	c.markChanged(p.job)
 }
@@ -268,7 +269,8 @@
 		Rank: begin + objective, Waited: now - p.readySince, Estimate: c.predictRunTime(p),
 		Late:     !p.step.UntilCancelled && now+c.longestChainFrom(p) > begin+objective,
 		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
-		MaxLoss:  maxEvictionLoss(p, guaranteed),
+		Slack:    begin + objective - now - c.longestChainFrom(p), Account: r.Account,
+		MaxLoss: maxEvictionLoss(p, guaranteed),
 	}
 	u.TasksOnNode = make(map[int]int)
 	u.Avoid = make(map[int]bool)
@@ -328,6 +330,7 @@
 	for _, r := range runs {
 		work.Nodes = append(work.Nodes, snap.nodeIndex[r.node])
 		work.Loss += c.lostWork(r, now)
+		work.Left = max(work.Left, c.timeLeft(r, now))
 		// What would be lost is not known before the worker has reported the run.
 		work.Pinned = work.Pinned || r.state == inherited || r.state == unconfirmed
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -140,8 +140,15 @@
 	Lasting bool
 	// Hopeless units belong to a job that is so late that finishing it is worth nothing any more.
 	Hopeless bool
-	// Late units can no longer meet the latency objective of their job, even if they start now.
-	Late bool
+	// Late units can no longer meet the latency objective of their job, even if they start now. Slack
+	// is the time in milliseconds within which a unit must start to meet it.
+	Late  bool
+	Slack clock.Millis
+	// Account is the client account that the unit's job belongs to.
+	Account string
+	// Deferred units are served after the other units of their priority that can be in time, since there
+	// is too little room for all. Plan sets it.
+	Deferred bool
 	// Rank orders units of the same priority; the lowest is served first. Waited is how long the
 	// unit has been waiting, and Estimate is the estimated run time of a task. All three are in
 	// milliseconds.
@@ -161,6 +168,8 @@
 	Nodes []int
 	// Loss is the work in core-seconds that is lost if the task or gang is stopped.
 	Loss float64
+	// Left is the estimated time in milliseconds until the work ends.
+	Left clock.Millis
 	// Pinned work is never evicted.
 	Pinned bool
 }
@@ -194,6 +203,8 @@
 	Evict []int
 	// Blocked lists the units of which no task starts, in the order in which they were served.
 	Blocked []int
+	// Deferred lists the units that are deferred, in the order of Input.Units.
+	Deferred []int
 	// Stuck lists blocked units that have waited for long although the free resources would
 	// be enough for them. It is limited to maxStuckUnits.
 	Stuck []Stuck
@@ -236,6 +247,7 @@
 // hopeless units last. It does not modify its input.
 func Plan(in Input) Output {
 	p := newPlan(in)
+	p.deferUnits()
 	for _, i := range p.order() {
 		if p.Units[i].Priority > 0 && !p.headroomReserved {
 			p.reserveHeadroom()
@@ -301,6 +313,7 @@
 		falseFirst(a.Hopeless, b.Hopeless),
 		cmp.Compare(a.Priority, b.Priority),
 		falseFirst(a.Late, b.Late),
+		falseFirst(a.Deferred, b.Deferred),
 		cmp.Compare(a.Rank, b.Rank),
 	)
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -23,8 +23,10 @@
 	units      []planner.Unit
 	waiting    []int
 	placements map[int][][]int
-	// headroom is the number of accelerators that the planner keeps free for urgent units.
+	// headroom is the number of accelerators that the planner keeps free for urgent units. left is the
+	// estimated time until the running work of a unit ends.
 	headroom int
+	left     map[int]clock.Millis
 }
 
 func newCluster(racks, workersPerRack int) *cluster {
@@ -56,7 +58,7 @@
 	var placementOf [][2]int
 	for i, u := range s.units {
 		for placement, assigned := range s.placements[i] {
-			in.Running = append(in.Running, planner.RunningWork{Priority: u.Priority, Guaranteed: u.Guaranteed, Shape: u.Shape, Nodes: assigned, Loss: float64(len(assigned))})
+			in.Running = append(in.Running, planner.RunningWork{Priority: u.Priority, Guaranteed: u.Guaranteed, Shape: u.Shape, Nodes: assigned, Loss: float64(len(assigned)), Left: s.left[i]})
 			placementOf = append(placementOf, [2]int{i, placement})
 			for _, n := range assigned {
 				in.Nodes[n].Free = in.Nodes[n].Free.Sub(u.Shape)
--- /dev/null
+++ b/planner/shortage.go
@@ -0,0 +1,64 @@
+package planner
+
+import "github.com/chestnutsail/chestnutsail/shortage"
+
+// deferUnits sets Deferred of the units that are deferred since there is too little room in
+// their service.
+func (p *plan) deferUnits() {
+	for service, u := range p.usages {
+		in, units := p.shortageInput(service, u.total)
+		for k, deferred := range shortage.Defer(in) {
+			p.Units[units[k]].Deferred = deferred
+		}
+	}
+	for i := range p.Units {
+		if p.Units[i].Deferred {
+			p.out.Deferred = append(p.out.Deferred, i)
+		}
+	}
+}
+
+// shortageInput returns the waiting and the running work of a service, and the indices of the waiting units.
+// Hopeless units are left out: they are served last in any case.
+func (p *plan) shortageInput(service string, total Shape) (in shortage.Input, units []int) {
+	for i := range p.Units {
+		u := &p.Units[i]
+		if u.Service != service || u.Hopeless && !u.Guaranteed {
+			continue
+		}
+		w := shortage.Work{
+			Class: u.Priority + 1, KeepOut: u.Priority > 0 && !u.Guaranteed, Account: u.Account, Room: u.Shape.share(total) * float64(u.Count),
+			Duration: u.Estimate, Slack: u.Slack, Fixed: u.Guaranteed || u.Lasting,
+		}
+		if u.Guaranteed {
+			w.Class = 0
+		}
+		units = append(units, i)
+		in.Waiting = append(in.Waiting, w)
+	}
+	if len(units) == 0 {
+		return in, nil
+	}
+	for i := range p.Running {
+		work := &p.Running[i]
+		if n := &p.Nodes[work.Nodes[0]]; n.Service == service && n.Usable {
+			in.Running = append(in.Running, shortage.Commitment{Room: work.Shape.share(total) * float64(len(work.Nodes)), Left: work.Left})
+		}
+	}
+	if total.Accels > 0 {
+		in.Kept = max(0, float64(p.Headroom[service])/float64(total.Accels))
+	}
+	return in, units
+}
+
+// share returns the share of the total that s needs of the resource of which it needs the largest
+// share.
+func (s Shape) share(total Shape) float64 {
+	largest := 0.0
+	for _, r := range [][2]int{{s.Cores, total.Cores}, {s.Memory, total.Memory}, {s.Accels, total.Accels}} {
+		if r[1] > 0 {
+			largest = max(largest, float64(r[0])/float64(r[1]))
+		}
+	}
+	return largest
+}
--- /dev/null
+++ b/shortage/shortage.go
@@ -0,0 +1,147 @@
+// Package shortage decides which waiting work is deferred while there is too little room for all of
+// it. It has no side effects, and the same input always gives the same result.
+//
+// In order of deadlines, work is served just before it would be late. That is the best order while
+// all work can be in time. Under overload it makes each piece late in its turn, and small errors of
+// estimates make even the work late that was started in time. Defer therefore predicts which work can
+// be in time, by Moore and Hodgson's rule: work is taken in order of its deadlines, and whenever
+// the work taken needs more room than becomes free by its deadline, the piece that needs the most
+// room for the longest time is deferred. That makes the number of pieces that are in time the largest
+// that the room allows. Two bounds keep large work and single accounts from paying for all
+// others.
+//
+// # Usage
+//
+//	deferred := shortage.Defer(shortage.Input{Waiting: waiting, Running: running})
+//	for i, w := range waiting {
+//		if deferred[i] { ... }
+//	}
+package shortage
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+)
+
+// fairShare is the share of the average rate of work kept that each account and each size keeps at
+// least. Callers of a size or an account are then served at least half as often as all.
+const fairShare = 0.5
+
+// Work is waiting work that starts as a whole.
+type Work struct {
+	// Class orders work strictly: all work of a lower class is served first.
+	Class   int
+	Account string
+	// Room is the share of all room that the work needs, from 0 to 1, for Duration milliseconds.
+	Room     float64
+	Duration clock.Millis
+	// Slack is the time in milliseconds from now within which the work must start to be in time. If it
+	// is negative, the work is late and is not deferred; it only takes room from later classes.
+	Slack clock.Millis
+	// KeepOut work may not use the room that is kept for other work. Of a class, all work or none is
+	// kept out.
+	KeepOut bool
+	// Fixed work is never deferred.
+	Fixed bool
+}
+
+// Commitment is room that running work holds, as a share of all room, for the next Left milliseconds.
+type Commitment struct {
+	Room float64
+	Left clock.Millis
+}
+
+// Input is everything that the decision depends on.
+type Input struct {
+	Waiting []Work
+	Running []Commitment
+	// Kept is the share of all room that is kept for work that arrives later.
+	Kept float64
+}
+
+// need returns the room that the work needs times its duration.
+func (w *Work) need() float64 { return w.Room * float64(w.Duration) }
+
+// deadline returns the time from now by which the work ends if it starts as late as it may.
+func (w *Work) deadline() clock.Millis { return w.Slack + w.Duration }
+
+// Defer reports for each piece of waiting work whether it is deferred: it should be served only
+// after the other work of its class that can be in time. It returns nil if all work fits
+// into the room that is free now.
+func Defer(in Input) []bool {
+	if in.fits() {
+		return nil
+	}
+	f := forecast{free: 1}
+	for _, c := range in.Running {
+		f.free -= c.Room
+		f.release(c.Room, 0, max(c.Left, binWidth))
+	}
+	deferred := make([]bool, len(in.Waiting))
+	keptOut := false
+	for _, members := range in.classes() {
+		if in.Waiting[members[0]].KeepOut && !keptOut {
+			keptOut = true
+			f.free -= in.Kept
+		}
+		inTime, late := in.split(members)
+		s := newSelection(in.Waiting, inTime, f)
+		for _, i := range inTime {
+			s.take(&f, i)
+		}
+		for _, i := range inTime {
+			deferred[i] = s.dropped[i]
+		}
+		for _, i := range late {
+			f.start(&in.Waiting[i])
+		}
+	}
+	return deferred
+}
+
+// split returns the work of a class that can be in time and the work that can't.
+func (in *Input) split(members []int) (inTime, late []int) {
+	for _, i := range members {
+		if in.Waiting[i].Slack < 0 {
+			late = append(late, i)
+		} else {
+			inTime = append(inTime, i)
+		}
+	}
+	return inTime, late
+}
+
+// fits reports whether all waiting work fits into what is free now.
+func (in *Input) fits() bool {
+	free := 1 - in.Kept
+	for i := range in.Running {
+		free -= in.Running[i].Room
+	}
+	for i := range in.Waiting {
+		free -= in.Waiting[i].Room
+	}
+	return free >= 0
+}
+
+// classes returns the indices of the waiting work by class, lowest class first, and by deadline
+// within a class.
+func (in *Input) classes() [][]int {
+	order := make([]int, len(in.Waiting))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := &in.Waiting[a], &in.Waiting[b]
+		return cmp.Or(cmp.Compare(x.Class, y.Class), cmp.Compare(x.deadline(), y.deadline()))
+	})
+	var list [][]int
+	for k, i := range order {
+		if k == 0 || in.Waiting[order[k-1]].Class != in.Waiting[i].Class {
+			list = append(list, nil)
+		}
+		list[len(list)-1] = append(list[len(list)-1], i)
+	}
+	return list
+}
