--- a/controller/controller.go
+++ b/controller/controller.go
@@ -29,6 +29,7 @@
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/mirror"
 	"github.com/chestnutsail/chestnutsail/peak"
+	"github.com/chestnutsail/chestnutsail/planner"
 	"github.com/chestnutsail/chestnutsail/site"
 )
 
@@ -155,6 +156,8 @@
 	// demandPeaks is, by service, the recent peak of the number of accelerators that urgent
 	// work used or waited for.
 	demandPeaks map[string]*peak.Peak
+	// pastUnits are the last units that have started or have become late, oldest first.
+	pastUnits []planner.Unit
 	// runTimes predicts the run times of tasks, by queue.
 	runTimes *estimate.Estimator[string]
 	// readingNotices is set while notices are being read from the store.
@@ -274,6 +277,7 @@
 	c.nodes = make(map[string]*node)
 	c.invalidEntries = make(map[string]uint64)
 	c.dirty = make(map[*job]bool)
+	c.pastUnits = nil
 	c.unreachable = nil
 	c.demandPeaks = make(map[string]*peak.Peak)
 	c.runTimes = estimate.New[string]()
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -55,6 +55,8 @@
 	doneAt     clock.Millis
 	// deferredSince is when the part was first deferred, since there was too little room; 0 if it never was.
 	deferredSince clock.Millis
+	// past is set once the part has started or has become late.
+	past bool
 	// measured holds the measured run times of finished tasks.
 	measured runTime
 }
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -48,6 +48,7 @@
 	if now-c.lastStuckCheck >= stuckCheckInterval {
 		c.lastStuckCheck, snap.input.StuckAfter = now, stuckThreshold
 	}
+	snap.input.Past = c.pastUnits
 	out := planner.Plan(snap.input)
 	took := c.opts.Clock.Now() - now
 	c.planInterval = max(minPlanInterval, planIntervalFactor*took)
@@ -56,6 +57,7 @@
 		c.reportStuck(snap, &out.Stuck[i], now)
 	}
 	c.noteDeferred(snap, out.Deferred, now)
+	c.notePast(snap, out.Starts)
 	for _, s := range out.Starts {
 		c.placeUnit(snap, s, now)
 	}
@@ -270,7 +272,7 @@
 		Late:     !p.step.UntilCancelled && now+c.longestChainFrom(p) > begin+objective,
 		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
 		Slack:    begin + objective - now - c.longestChainFrom(p), Account: r.Account,
-		MaxLoss: maxEvictionLoss(p, guaranteed),
+		Begun: len(p.step.After) > 0 || len(waiting) < len(p.tasks), MaxLoss: maxEvictionLoss(p, guaranteed),
 	}
 	u.TasksOnNode = make(map[int]int)
 	u.Avoid = make(map[int]bool)
--- a/controller/shortage.go
+++ b/controller/shortage.go
@@ -4,11 +4,17 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/planner"
 )
 
-// overrunFraction is the part of the time for which a run has been running that it is expected to run on at
-// least. Estimates may be far too short, and a run that has outlasted its own may go on for as long again.
-const overrunFraction = 0.25
+const (
+	// overrunFraction is the part of the time for which a run has been running that it is expected to run on at
+	// least. Estimates may be far too short, and a run that has outlasted its own may go on for as long again.
+	overrunFraction = 0.25
+	// maxPastUnits is the number of past units by which it is told whether callers of a size or an account are
+	// served less than others: some seconds of work under overload.
+	maxPastUnits = 256
+)
 
 // timeLeft estimates the time in milliseconds until a run ends.
 func (c *Controller) timeLeft(r *run, now clock.Millis) clock.Millis {
@@ -36,6 +42,25 @@
 	}
 }
 
+// notePast adds the units that a plan starts and those that have become late to the past units, each part once.
+func (c *Controller) notePast(snap *snapshot, starts []planner.Start) {
+	starting := make(map[int]bool, len(starts))
+	for _, s := range starts {
+		starting[s.Unit] = true
+	}
+	for i, p := range snap.unitParts {
+		u := &snap.input.Units[i]
+		if p.past || u.Begun || (u.Slack >= 0 && !starting[i]) {
+			continue
+		}
+		p.past = true
+		if len(c.pastUnits) == maxPastUnits {
+			c.pastUnits = c.pastUnits[1:]
+		}
+		c.pastUnits = append(c.pastUnits, *u)
+	}
+}
+
 // deferredFor returns for how long, in milliseconds, a part has been waiting since it was first deferred; 0 if
 // it was not deferred.
 func (p *part) deferredFor(now clock.Millis) clock.Millis {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -18,6 +18,7 @@
 	"slices"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/shortage"
 )
 
 // Shape is an amount of resources: what a task needs, or what a worker has.
@@ -136,6 +137,8 @@
 	// LastAttempt units have a task whose next failure fails the whole job. They are never placed
 	// on suspect or quarantined nodes, and on slow ones only if they have waited for too long.
 	LastAttempt bool
+	// Begun units belong to a job of which other tasks are running or done.
+	Begun bool
 	// Lasting units have tasks that run until their job is cancelled.
 	Lasting bool
 	// Hopeless units belong to a job that is so late that finishing it is worth nothing any more.
@@ -146,9 +149,9 @@
 	Slack clock.Millis
 	// Account is the client account that the unit's job belongs to.
 	Account string
-	// Deferred units are served after the other units of their priority that can be in time, since there
-	// is too little room for all. Plan sets it.
-	Deferred bool
+	// Turn orders the units of a priority that can be in time while there is too little room for all. Plan
+	// sets it.
+	Turn shortage.Turn
 	// Rank orders units of the same priority; the lowest is served first. Waited is how long the
 	// unit has been waiting, and Estimate is the estimated run time of a task. All three are in
 	// milliseconds.
@@ -179,6 +182,9 @@
 	Nodes   []Node
 	Units   []Unit
 	Running []RunningWork
+	// Past lists units of the recent past: those whose Slack is negative became late before they started, the
+	// others started in time. They count for what callers of a size and of an account get.
+	Past []Unit
 	// Headroom is the number of accelerators that are kept free for urgent units that arrive
 	// later, by service. Units of other priorities normally do not use them.
 	Headroom map[string]int
@@ -247,7 +253,7 @@
 // hopeless units last. It does not modify its input.
 func Plan(in Input) Output {
 	p := newPlan(in)
-	p.deferUnits()
+	p.setTurns()
 	for _, i := range p.order() {
 		if p.Units[i].Priority > 0 && !p.headroomReserved {
 			p.reserveHeadroom()
@@ -313,7 +319,7 @@
 		falseFirst(a.Hopeless, b.Hopeless),
 		cmp.Compare(a.Priority, b.Priority),
 		falseFirst(a.Late, b.Late),
-		falseFirst(a.Deferred, b.Deferred),
+		cmp.Compare(a.Turn, b.Turn),
 		cmp.Compare(a.Rank, b.Rank),
 	)
 }
--- a/planner/shortage.go
+++ b/planner/shortage.go
@@ -2,17 +2,16 @@
 
 import "github.com/chestnutsail/chestnutsail/shortage"
 
-// deferUnits sets Deferred of the units that are deferred since there is too little room in
-// their service.
-func (p *plan) deferUnits() {
+// setTurns sets the turns of the units of services with too little room.
+func (p *plan) setTurns() {
 	for service, u := range p.usages {
 		in, units := p.shortageInput(service, u.total)
-		for k, deferred := range shortage.Defer(in) {
-			p.Units[units[k]].Deferred = deferred
+		for k, turn := range shortage.Turns(in) {
+			p.Units[units[k]].Turn = turn
 		}
 	}
 	for i := range p.Units {
-		if p.Units[i].Deferred {
+		if p.Units[i].Turn == shortage.Deferred {
 			p.out.Deferred = append(p.out.Deferred, i)
 		}
 	}
@@ -26,19 +25,17 @@
 		if u.Service != service || u.Hopeless && !u.Guaranteed {
 			continue
 		}
-		w := shortage.Work{
-			Class: u.Priority + 1, KeepOut: u.Priority > 0 && !u.Guaranteed, Account: u.Account, Room: u.Shape.share(total) * float64(u.Count),
-			Duration: u.Estimate, Slack: u.Slack, Fixed: u.Guaranteed || u.Lasting,
-		}
-		if u.Guaranteed {
-			w.Class = 0
-		}
 		units = append(units, i)
-		in.Waiting = append(in.Waiting, w)
+		in.Waiting = append(in.Waiting, u.work(total))
 	}
 	if len(units) == 0 {
 		return in, nil
 	}
+	for i := range p.Past {
+		if u := &p.Past[i]; u.Service == service {
+			in.Past = append(in.Past, u.work(total))
+		}
+	}
 	for i := range p.Running {
 		work := &p.Running[i]
 		if n := &p.Nodes[work.Nodes[0]]; n.Service == service && n.Usable {
@@ -51,6 +48,18 @@
 	return in, units
 }
 
+// work returns a unit in the terms of package shortage. total is all room of its service.
+func (u *Unit) work(total Shape) shortage.Work {
+	w := shortage.Work{
+		Class: u.Priority + 1, KeepOut: u.Priority > 0 && !u.Guaranteed, Account: u.Account, Room: u.Shape.share(total) * float64(u.Count),
+		Duration: u.Estimate, Slack: u.Slack, Fixed: u.Guaranteed || u.Lasting || u.Begun,
+	}
+	if u.Guaranteed {
+		w.Class = 0
+	}
+	return w
+}
+
 // share returns the share of the total that s needs of the resource of which it needs the largest
 // share.
 func (s Shape) share(total Shape) float64 {
--- a/shortage/shortage.go
+++ b/shortage/shortage.go
@@ -3,7 +3,7 @@
 //
 // In order of deadlines, work is served just before it would be late. That is the best order while
 // all work can be in time. Under overload it makes each piece late in its turn, and small errors of
-// estimates make even the work late that was started in time. Defer therefore predicts which work can
+// estimates make even the work late that was started in time. Turns therefore predicts which work can
 // be in time, by Moore and Hodgson's rule: work is taken in order of its deadlines, and whenever
 // the work taken needs more room than becomes free by its deadline, the piece that needs the most
 // room for the longest time is deferred. That makes the number of pieces that are in time the largest
@@ -12,10 +12,8 @@
 //
 // # Usage
 //
-//	deferred := shortage.Defer(shortage.Input{Waiting: waiting, Running: running})
-//	for i, w := range waiting {
-//		if deferred[i] { ... }
-//	}
+//	turns := shortage.Turns(shortage.Input{Waiting: waiting, Running: running})
+//	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(turns[a], turns[b]) })
 package shortage
 
 import (
@@ -25,9 +23,18 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
-// fairShare is the share of the average rate of work kept that each account and each size keeps at
-// least. Callers of a size or an account are then served at least half as often as all.
-const fairShare = 0.5
+// Turn is when work is served among the work of its class that can be in time.
+type Turn int
+
+const (
+	// InTurn work is served in order of deadlines.
+	InTurn Turn = iota
+	// First work is served before it: the recent work of its size or its account was in time less than half
+	// as often as all.
+	First Turn = iota - 2
+	// Deferred work is served after it.
+	Deferred Turn = iota - 1
+)
 
 // Work is waiting work that starts as a whole.
 type Work struct {
@@ -57,6 +64,9 @@
 type Input struct {
 	Waiting []Work
 	Running []Commitment
+	// Past is work of the recent past that was started in time or became late. It counts for the bounds for sizes
+	// and accounts.
+	Past []Work
 	// Kept is the share of all room that is kept for work that arrives later.
 	Kept float64
 }
@@ -64,13 +74,14 @@
 // need returns the room that the work needs times its duration.
 func (w *Work) need() float64 { return w.Room * float64(w.Duration) }
 
+func (w *Work) late() bool { return w.Slack < 0 }
+
 // deadline returns the time from now by which the work ends if it starts as late as it may.
 func (w *Work) deadline() clock.Millis { return w.Slack + w.Duration }
 
-// Defer reports for each piece of waiting work whether it is deferred: it should be served only
-// after the other work of its class that can be in time. It returns nil if all work fits
-// into the room that is free now.
-func Defer(in Input) []bool {
+// Turns returns the turn of each piece of waiting work. It returns nil if all work fits into the room that is
+// free now.
+func Turns(in Input) []Turn {
 	if in.fits() {
 		return nil
 	}
@@ -79,7 +90,7 @@
 		f.free -= c.Room
 		f.release(c.Room, 0, max(c.Left, binWidth))
 	}
-	deferred := make([]bool, len(in.Waiting))
+	turns := make([]Turn, len(in.Waiting))
 	keptOut := false
 	for _, members := range in.classes() {
 		if in.Waiting[members[0]].KeepOut && !keptOut {
@@ -87,24 +98,34 @@
 			f.free -= in.Kept
 		}
 		inTime, late := in.split(members)
-		s := newSelection(in.Waiting, inTime, f)
-		for _, i := range inTime {
-			s.take(&f, i)
-		}
-		for _, i := range inTime {
-			deferred[i] = s.dropped[i]
+		fair := newFairness(in.pastOf(in.Waiting[members[0]].Class))
+		// One at a time is enough to bring a size or an account back, and holds up the others the least.
+		if i := slices.IndexFunc(inTime, func(i int) bool { return fair.isBehind(&in.Waiting[i]) }); i >= 0 {
+			turns[inTime[i]] = First
 		}
+		selectFrom(&f, in.Waiting, inTime, turns)
 		for _, i := range late {
 			f.start(&in.Waiting[i])
 		}
 	}
-	return deferred
+	return turns
+}
+
+// pastOf returns the past work of a class.
+func (in *Input) pastOf(class int) []Work {
+	var list []Work
+	for i := range in.Past {
+		if in.Past[i].Class == class {
+			list = append(list, in.Past[i])
+		}
+	}
+	return list
 }
 
 // split returns the work of a class that can be in time and the work that can't.
 func (in *Input) split(members []int) (inTime, late []int) {
 	for _, i := range members {
-		if in.Waiting[i].Slack < 0 {
+		if in.Waiting[i].late() {
 			late = append(late, i)
 		} else {
 			inTime = append(inTime, i)
