--- a/planner/shortage.go
+++ b/planner/shortage.go
@@ -48,11 +48,12 @@
 	return in, units
 }
 
-// work returns a unit in the terms of package shortage. total is all room of its service.
+// work returns a unit in the terms of package shortage. total is all room of its service. Units that may evict
+// make room for themselves, and work that has begun would hold what it uses for longer, so both are fixed.
 func (u *Unit) work(total Shape) shortage.Work {
 	w := shortage.Work{
 		Class: u.Priority + 1, KeepOut: u.Priority > 0 && !u.Guaranteed, Account: u.Account, Room: u.Shape.share(total) * float64(u.Count),
-		Duration: u.Estimate, Slack: u.Slack, Fixed: u.Guaranteed || u.Lasting || u.Begun,
+		Duration: u.Estimate, Slack: u.Slack, Fixed: u.Guaranteed || u.Lasting || u.Begun || u.MaxLoss > 0,
 	}
 	if u.Guaranteed {
 		w.Class = 0
--- a/shortage/shortage.go
+++ b/shortage/shortage.go
@@ -50,7 +50,7 @@
 	// KeepOut work may not use the room that is kept for other work. Of a class, all work or none is
 	// kept out.
 	KeepOut bool
-	// Fixed work is never deferred.
+	// Fixed work is always served in order of deadlines.
 	Fixed bool
 }
 
@@ -100,7 +100,7 @@
 		inTime, late := in.split(members)
 		fair := newFairness(in.pastOf(in.Waiting[members[0]].Class))
 		// One at a time is enough to bring a size or an account back, and holds up the others the least.
-		if i := slices.IndexFunc(inTime, func(i int) bool { return fair.isBehind(&in.Waiting[i]) }); i >= 0 {
+		if i := slices.IndexFunc(inTime, func(i int) bool { return !in.Waiting[i].Fixed && fair.isBehind(&in.Waiting[i]) }); i >= 0 {
 			turns[inTime[i]] = First
 		}
 		selectFrom(&f, in.Waiting, inTime, turns)
