--- a/controller/controller.go
+++ b/controller/controller.go
@@ -162,6 +162,8 @@
 	demandPeaks map[string]*peak.Peak
 	// fleets is what is known of the speeds of the workers of each service.
 	fleets fleets
+	// pastUnits are the last units that have started or have become late.
+	pastUnits pastUnits
 	// runTimes predicts the run times of tasks, by queue.
 	runTimes    *estimate.Estimator[string]
 	evacuations *evacuations
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -23,10 +23,13 @@
 	units      []planner.Unit
 	waiting    []int
 	placements map[int][][]int
-	// headroom is the number of accelerators that the planner keeps free for urgent units.
+	// headroom is the number of accelerators that the planner keeps free for urgent units. left is the
+	// estimated time until the running work of a unit ends.
 	headroom int
 	// tight is Input.TightSpeed.
 	tight map[string]float64
+	left  map[int]clock.Millis
+	past  []planner.Unit
 }
 
 func newCluster(racks, workersPerRack int) *cluster {
@@ -51,14 +54,14 @@
 // input returns the planner's input. unitIndex gives the cluster's unit for each unit of the input,
 // and placementOf the cluster's unit and placement for each piece of running work of the input.
 func (s *cluster) input() (planner.Input, []int, [][2]int) {
-	in := planner.Input{Nodes: append([]planner.Node(nil), s.nodes...), Headroom: map[string]int{"svc": s.headroom}, TightSpeed: s.tight}
+	in := planner.Input{Nodes: append([]planner.Node(nil), s.nodes...), Headroom: map[string]int{"svc": s.headroom}, Past: s.past, TightSpeed: s.tight}
 	for i := range in.Nodes {
 		in.Nodes[i].Free, in.Nodes[i].FreeSoon = in.Nodes[i].Capacity, in.Nodes[i].Capacity
 	}
 	var placementOf [][2]int
 	for i, u := range s.units {
 		for placement, assigned := range s.placements[i] {
-			in.Running = append(in.Running, planner.RunningWork{Priority: u.Priority, Guaranteed: u.Guaranteed, Shape: u.Shape, Nodes: assigned, Loss: float64(len(assigned))})
+			in.Running = append(in.Running, planner.RunningWork{Priority: u.Priority, Guaranteed: u.Guaranteed, Shape: u.Shape, Nodes: assigned, Loss: float64(len(assigned)), Left: s.left[i]})
 			placementOf = append(placementOf, [2]int{i, placement})
 			for _, n := range assigned {
 				in.Nodes[n].Free = in.Nodes[n].Free.Sub(u.Shape)
