planner, explain: bound the wait of guaranteed work for fast workers, and name it

Cause: on uneven workers an urgent unit keeps off workers that are too slow for it until it can't be in time on any. For long work under a guarantee that is longer than a reclaim may take; and a unit that waits for it was reported as waiting without a cause. A gang that waited for fast workers also reserved the slow ones of its rack.

Change: units under a guarantee take any worker after maxGuaranteedWait (1 s); the cause `slow` and the tasks that would fit on such workers are in the log, the metric and explain; only workers that are fast enough are reserved.

Measured: the two entries in speed_test.go failed before (the cause was `reserved`) and pass.

--- a/controller/stuck.go
+++ b/controller/stuck.go
@@ -32,7 +32,7 @@
 	c.opts.Log.WithFields(logrus.Fields{
 		"job": p.job.id, "occurrence": p.occurrence, "step": p.index, "tasks": unit.Count, "gang": unit.Gang, "rack": unit.SameRack, "waited_ms": int64(unit.Waited),
 		"priority": unit.Priority, "hopeless": unit.Hopeless, "late": unit.Late, "slots": stuck.Slots(), "free": stuck.Free, "reserved": stuck.Reserved,
-		"headroom": stuck.Headroom, "avoided": stuck.Avoided, "unsound": stuck.Unhealthy, "term": c.term, "cause": string(stuck.Cause),
+		"headroom": stuck.Headroom, "avoided": stuck.Avoided, "unsound": stuck.Unhealthy, "slow": stuck.Slow, "term": c.term, "cause": string(stuck.Cause),
 		"age_ms": int64(now - p.job.record.AcceptedAt), "predicted_ms": int64(unit.Estimate), "used_percent": math.Round(100 * stuck.Usage),
 		"led_ms": int64(now - c.leadingSince),
 	}).Warn("controller: tasks wait although there is room")
--- a/explain/history.go
+++ b/explain/history.go
@@ -128,7 +128,7 @@
 	for _, o := range []struct {
 		name  string
 		tasks int
-	}{{"headroom", l.Headroom}, {"reservations", l.Reserved}, {"workers where it failed", l.Avoided}, {"unsound workers", l.Unsound}} {
+	}{{"headroom", l.Headroom}, {"reservations", l.Reserved}, {"workers where it failed", l.Avoided}, {"unsound workers", l.Unsound}, {"workers that are too slow", l.Slow}} {
 		if o.tasks > most {
 			name, most = o.name, o.tasks
 		}
--- a/explain/reader.go
+++ b/explain/reader.go
@@ -42,6 +42,7 @@
 	Headroom  int            `json:"headroom"`
 	Avoided   int            `json:"avoided"`
 	Unsound   int            `json:"unsound"`
+	Slow      int            `json:"slow"`
 	Free      int            `json:"free"`
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -302,6 +302,7 @@
 		}
 	}
 	p.allowAvoided()
+	p.allowSlow()
 	return p
 }
 
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -19,7 +19,7 @@
 	}
 	p.reservations[u.Service]++
 	for _, n := range nodes {
-		p.reserved[n] = true
+		p.reserved[n] = p.reserved[n] || p.Nodes[n].Speed >= u.MinSpeed
 	}
 }
 
--- a/planner/speed.go
+++ b/planner/speed.go
@@ -47,3 +47,13 @@
 
 // suitsUrgent reports whether a node is surely fast enough for urgent work.
 func (p *plan) suitsUrgent(node *Node) bool { return node.SureSpeed >= p.TightSpeed[node.Service] }
+
+// allowSlow clears the speeds that units under a guarantee need once they have waited for maxGuaranteedWait: a
+// guarantee has to be met in a bounded time, on whatever nodes there are.
+func (p *plan) allowSlow() {
+	for i := range p.Units {
+		if u := &p.Units[i]; u.Guaranteed && u.Waited >= maxGuaranteedWait {
+			u.MinSpeed = 0
+		}
+	}
+}
--- a/planner/speed_test.go
+++ b/planner/speed_test.go
@@ -49,6 +49,8 @@
 			[][]string{{"slow", "unknown", "unknown"}, {"usual", "slow", "fast"}}, urgentPair, []int{3, 5}),
 		Entry("urgent gangs although their speed is unknown, if no others are there", [][]string{{"slow", "unknown", "unknown"}}, urgentPair, []int{1, 2}),
 		Entry("no urgent gang while it can still be in time on faster ones", [][]string{{"slow", "slow", "fast"}}, urgentPair, nil),
+		Entry("a unit under a guarantee whose time to start is nearly over",
+			[][]string{{"slow", "slow", "fast"}}, planner.Unit{Service: "svc", Shape: wholeWorker, Count: 3, Gang: true, MinSpeed: 0.7, Guaranteed: true, Waited: clock.Second}, []int{0, 1, 2}),
 		Entry("urgent work that can't be in time anyway", [][]string{{"slow", "slow"}}, planner.Unit{Service: "svc", Shape: wholeWorker, Count: 2, Gang: true, Late: true}, []int{0, 1}),
 		Entry("other work, the unknown ones first", [][]string{{"slow", "fast", "unknown"}}, planner.Unit{Service: "svc", Priority: 2, Shape: small, Count: 4}, []int{2, 2, 2, 2}),
 		Entry("other work, the fast ones last", [][]string{{"fast", "usual", "slow"}}, planner.Unit{Service: "svc", Priority: 2, Shape: small, Count: 4}, []int{2, 2, 2, 2}),
@@ -64,6 +66,18 @@
 		Expect(planner.Plan(in).Evict).To(ConsistOf(0, 1))
 	})
 
+	It("are named as the cause if work waits for long beside free ones that are too slow", func() {
+		in := input([]string{"slow", "slow", "slow", "slow", "fast"})
+		u := urgentPair
+		u.Waited, u.SameRack, in.StuckAfter = 3*clock.Second, false, clock.Second
+		in.Nodes[4].Free, in.Nodes[4].FreeSoon = planner.Shape{}, planner.Shape{}
+		for n := range in.Nodes {
+			in.Nodes[n].Capacity.Accels += 24 // the service is half full
+		}
+		in.Units = []planner.Unit{u}
+		Expect(planner.Plan(in).Stuck).To(ConsistOf(HaveField("Cause", planner.CauseSlow)))
+	})
+
 	It("count as headroom only if they are surely fast enough", func() {
 		in := input([]string{"slow", "unknown", "fast", "slow"})
 		in.Headroom = map[string]int{"svc": 8}
--- a/planner/stuck.go
+++ b/planner/stuck.go
@@ -19,6 +19,8 @@
 	CauseUnhealthy Cause = "unhealthy"
 	// CauseAvoided means that the unit needs nodes where its own tasks have failed before.
 	CauseAvoided Cause = "avoided"
+	// CauseSlow means that the unit needs nodes that are too slow for it to be in time.
+	CauseSlow Cause = "slow"
 	// CauseUnknown means that the unit fits and no reason to wait is known.
 	CauseUnknown Cause = "unknown"
 )
@@ -44,10 +46,12 @@
 	// those on nodes that were recently slow, had task failures or are in quarantine.
 	Avoided   int
 	Unhealthy int
+	// Slow counts those on nodes that are too slow for the unit to be in time.
+	Slow int
 }
 
 // Slots returns the number of tasks that would fit into the free resources.
-func (s *Stuck) Slots() int { return s.Free + s.Reserved + s.Headroom + s.Avoided + s.Unhealthy }
+func (s *Stuck) Slots() int { return s.Free + s.Reserved + s.Headroom + s.Avoided + s.Unhealthy + s.Slow }
 
 // recordIfStuck adds a blocked unit to the stuck units of the plan if it has waited for long enough
 // and fits spareRoomFactor times over into the free resources.
@@ -60,6 +64,7 @@
 	s := Stuck{
 		Unit: i, Usage: p.usages[u.Service].share(), Free: slots[noObstacle], Reserved: slots[reservedNode], Headroom: slots[urgentOnlyNode],
 		Avoided: slots[avoidedNode], Unhealthy: slots[unhealthyNode] + slots[quarantinedNode] + slots[failingNode],
+		Slow: slots[tooSlowNode],
 	}
 	if s.Slots() >= spareRoomFactor*p.requiredTasks(u) {
 		s.Cause = p.waitCause(u, slots)
@@ -77,6 +82,8 @@
 		fitting += slots[worst]
 	}
 	switch {
+	case worst == tooSlowNode:
+		return CauseSlow
 	case worst == urgentOnlyNode:
 		return CauseHeadroom
 	case worst == reservedNode:
