--- a/planner/stuck.go
+++ b/planner/stuck.go
@@ -51,7 +51,9 @@
 }
 
 // Slots returns the number of tasks that would fit into the free resources.
-func (s *Stuck) Slots() int { return s.Free + s.Reserved + s.Headroom + s.Avoided + s.Unhealthy + s.Slow }
+func (s *Stuck) Slots() int {
+	return s.Free + s.Reserved + s.Headroom + s.Avoided + s.Unhealthy + s.Slow
+}
 
 // recordIfStuck adds a blocked unit to the stuck units of the plan if it has waited for long enough
 // and fits spareRoomFactor times over into the free resources.
