controller: explore orders that are late by up to 14 s

With CHESTNUTSAIL_EXPLORE_SECONDS=28 the explorer goes on until such orders can be late no more, and workers report meanwhile. By default nothing changes.

--- a/controller/explorefaults_test.go
+++ b/controller/explorefaults_test.go
@@ -175,6 +175,9 @@
 
 func (e *explorer) delayStarts(x *platformtest.Worker) {
 	delay := time.Duration(500+e.random.IntN(3500)) * time.Millisecond
+	if isLong() && e.random.IntN(2) == 0 {
+		delay = maxExploredDelay - delay
+	}
 	e.currentWorkers()[x.ID()].DelayStarts(delay, 1+e.random.IntN(3))
 	e.logFaultf("orders to %s are delayed by %s", x.ID(), delay)
 }
@@ -218,6 +221,19 @@
 	}
 }
 
+// reportDue makes the workers report every second in a long exploration.
+func (e *explorer) reportDue() {
+	if !isLong() || time.Now().Before(e.reportsAt) {
+		return
+	}
+	e.reportsAt = time.Now().Add(time.Second)
+	for id, x := range e.currentWorkers() {
+		if e.registerAt[id].IsZero() {
+			x.Register("ready")
+		}
+	}
+}
+
 func (e *explorer) leaveUnseen(x *platformtest.Worker) {
 	x = e.currentWorkers()[x.ID()]
 	e.logFaultf("%s drains, its entry is deleted and its link is cut, while it runs on", x.ID())
