soak: workers of uneven speeds

Cause: all workers of the soak were alike. Change: their speeds are 1, 0.6 and 1.6 in turn; from eight workers on (Scale 2) a leader learns and uses them.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,6 +20,8 @@
 //     store are overwritten by another writer;
 //   - failure domains that are to be evacuated.
 //
+// The speeds of the workers differ. A leader takes that into account from eight workers on, with Options.Scale of 2.
+//
 // Three sequences of faults run beside each other, one of them with the faults of workers and their
 // links, and one with evacuations. In each, faults start one after another and may overlap. After the last one, a gang that wants one rack
 // waits while long tasks hold a part of each rack, and the leader is restarted once.
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -28,9 +28,13 @@
 	cut, gone bool
 }
 
+// workerSpeeds are the speeds of the workers, in turn.
+var workerSpeeds = []float64{1, 0.6, 1.6}
+
 func (s *slot) newWorker(id string) *platformtest.Worker {
 	return platformtest.NewWorker(platformtest.WorkerOptions{
 		Store: s.run.store, ID: id, Domain: domainName(s.index), Rack: rackName(s.index), Lease: s.run.opts.Lease, GPU: workerAccels,
+		Speed: workerSpeeds[s.index%len(workerSpeeds)],
 		Address: func(own string) string {
 			s.proxy.setTarget(own)
 			return s.proxy.address()
