speed, planner, controller: judge runs by earlier ones, drop speeds that can't be had

(2) With a needed speed, a gang that wants one rack was spread over racks if no rack had enough fast workers. (3) The fastest single worker of the service decided whether a unit could be in time. (4) A record that can't be read was never replaced.

Change: slowness, the median of a part and the reference use the speeds of ended runs only; runs that tell nothing have no sample; cold workers are not measured; the spread is centred and has a lower limit for becoming even again; the planner drops a needed speed that too few workers could offer if empty, and the unit then counts as late; what present runs show is not stored; runs of a part are compared every 500 ms at most. Metrics fall to 0 when they end.

--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -5,6 +5,7 @@
 
 	"github.com/chestnutsail/chestnutsail/agent"
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/speed"
 )
 
 // markUnlisted handles the removal of a worker's entry from the store. The worker's process may go
@@ -42,7 +43,12 @@
 	n.process++
 	n.workerStart, n.handledEnd, n.ackedEnd, n.ackSent, n.unackedEnds = start, 0, 0, 0, nil
 	n.clockReadAt, n.slowUntil, n.fullDelay = 0, 0, 0
+	for r := range n.runs {
+		n.speed.Add(r.sample)
+		r.sample = speed.Sample{}
+	}
 	n.speed.Fade(restartFade)
+	c.updateSpeed(n)
 	clear(n.unknownRuns)
 	for r := range n.runs {
 		if r.state == stopping {
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -57,6 +57,8 @@
 	deferredSince clock.Millis
 	// past is set once the part has started or has become late.
 	past bool
+	// comparedAt is when the progress of the part's runs was last compared.
+	comparedAt clock.Millis
 	// measured holds the measured run times of finished tasks.
 	measured runTime
 }
--- a/controller/leading.go
+++ b/controller/leading.go
@@ -41,4 +41,5 @@
 	c.term, c.jobsLoaded, c.workersListed, c.flushing, c.planNeeded, c.readingNotices, c.listingHosts = 0, false, false, false, false, false, false
 	c.jobs, c.nodes, c.dirty, c.workersMirror, c.queuedOrders, c.ordersInFlight = nil, nil, nil, nil, nil, 0
 	c.evacuations.reset()
+	c.clearSpeedCounts()
 }
--- a/controller/pace.go
+++ b/controller/pace.go
@@ -100,15 +100,15 @@
 	if p.step.UntilCancelled || p.doneTasks == len(p.tasks) || p.job.state.Final() {
 		return
 	}
-	taskDuration, known := p.taskDuration()
+	taskDuration, known := c.taskDuration(p)
 	if known {
 		for _, r := range p.runs() {
 			// The members of a gang are remote together, and can still be compared.
 			if r.pace.totalTime > 0 && (p.step.Gang || !p.runsRemotely(r)) {
-				r.node.updateSlowness(r.pace.totalTime*min(r.node.expectedSpeed(), 1)/taskDuration, now)
+				r.node.updateSlowness(r.pace.totalTime*min(c.earlierSpeed(r.node), 1)/taskDuration, now)
 			}
 		}
-		c.learnSpeeds(p, taskDuration)
+		c.learnSpeeds(p, taskDuration, now)
 	}
 	if p.step.Gang {
 		c.restartIfStalled(p, p.runs(), taskDuration, now)
@@ -134,12 +134,12 @@
 // speed 1, and reports whether there is enough data. It is the lower median over the tasks of
 // the part, which slow workers hardly change. It needs runs on at least two workers, or a task
 // that has finished.
-func (p *part) taskDuration() (float64, bool) {
+func (c *Controller) taskDuration(p *part) (float64, bool) {
 	var samples []float64
 	workers := make(map[*node]bool)
 	for _, t := range p.tasks {
 		if r := t.run; r != nil && r.pace.totalTime > 0 {
-			samples = append(samples, r.pace.totalTime*r.node.expectedSpeed())
+			samples = append(samples, r.pace.totalTime*c.earlierSpeed(r.node))
 			workers[r.node] = true
 		}
 	}
@@ -154,7 +154,7 @@
 }
 
 // updateSlowness marks a worker as slow or not after a measurement. ratio is a task's duration on
-// the worker divided by the duration that the worker's usual speed lets expect.
+// the worker divided by the duration that its speed in earlier runs lets expect.
 func (n *node) updateSlowness(ratio float64, now clock.Millis) {
 	n.slowUntil = 0
 	if ratio > slowRatio {
--- a/controller/runtimes.go
+++ b/controller/runtimes.go
@@ -42,6 +42,9 @@
 // or from the rest of their gang.
 func (p *part) measure(r *run, now clock.Millis) {
 	if r.firstSeen == 0 || r.resumed || r.adopted || r.node.isSlow(now) || p.runsRemotely(r) {
+		if r.node.isSlow(now) {
+			r.sample = speed.Sample{}
+		}
 		return
 	}
 	duration := float64(now - r.firstSeen)
--- a/controller/speeds.go
+++ b/controller/speeds.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 
@@ -19,6 +18,9 @@
 	// restartFade is the share of what was measured of a worker that still counts once its process
 	// has restarted. The new one may run on other hardware.
 	restartFade = 0.25
+	// comparisonInterval is the shortest time in milliseconds between two comparisons of the runs of a part.
+	// Each of its workers reports about once a second.
+	comparisonInterval = 500 * clock.Millisecond
 	// fleetInterval is the time in milliseconds between two computations of the fleets.
 	fleetInterval = clock.Second
 )
@@ -39,6 +41,12 @@
 	return n.speedNow.Sure
 }
 
+// earlierSpeed returns the expected speed of a worker by the runs that have ended. A present run is judged by it: its
+// own sample would hide that it is slow.
+func (c *Controller) earlierSpeed(n *node) float64 {
+	return n.speed.Estimate(c.fleets.byService[n.worker.Service].fleet).Expected
+}
+
 // measuredSpeed returns what is measured of a worker's speed, with the runs that are present.
 func (n *node) measuredSpeed() speed.Mean {
 	m := n.speed
@@ -66,9 +74,13 @@
 	byService map[string]serviceSpeeds
 	updatedAt clock.Millis
 	history   speedHistory
+	// counted holds the services whose workers are counted by speed in the metrics.
+	counted map[string]bool
 }
 
-func newFleets() fleets { return fleets{byService: make(map[string]serviceSpeeds)} }
+func newFleets() fleets {
+	return fleets{byService: make(map[string]serviceSpeeds), counted: make(map[string]bool)}
+}
 
 // updateFleets computes how much the speeds of the workers of each service differ.
 func (c *Controller) updateFleets(now clock.Millis) {
@@ -81,7 +93,8 @@
 		measured[n.worker.Service] = append(measured[n.worker.Service], n.measuredSpeed())
 	}
 	for service, workers := range measured {
-		next, before := serviceSpeeds{fleet: speed.FleetOf(slices.Values(workers))}, c.fleets.byService[service]
+		next, before := serviceSpeeds{}, c.fleets.byService[service]
+		next.fleet = speed.FleetOf(slices.Values(workers), before.fleet)
 		for i := range workers {
 			next.fastest = max(next.fastest, workers[i].Estimate(next.fleet).Sure)
 		}
@@ -99,24 +112,44 @@
 	c.keepSpeedHistory(now)
 }
 
-// countSpeeds updates the metrics of what is known of the workers' speeds.
+// countSpeeds updates the metrics of what is known of the workers' speeds. Those of services whose workers are no
+// longer uneven are 0.
 func (c *Controller) countSpeeds() {
-	for service, tight := range c.tightSpeeds() {
-		counts := map[string]uint64{"slow": 0, "doubtful": 0, "sure": 0}
+	tight := c.tightSpeeds()
+	for service := range c.fleets.counted {
+		if _, uneven := tight[service]; !uneven {
+			c.setSpeedCounts(service, 0, 0, 0)
+			delete(c.fleets.counted, service)
+		}
+	}
+	for service, least := range tight {
+		var slow, doubtful, sure uint64
 		for _, n := range c.nodes {
 			switch {
 			case n.worker.Service != service:
-			case n.expectedSpeed() < tight:
-				counts["slow"]++
-			case n.sureSpeed() < tight:
-				counts["doubtful"]++
+			case n.expectedSpeed() < least:
+				slow++
+			case n.sureSpeed() < least:
+				doubtful++
 			default:
-				counts["sure"]++
+				sure++
 			}
 		}
-		for kind, count := range counts {
-			c.opts.Counters.Counter(fmt.Sprintf("chestnutsail_workers_speed{service=%q,speed=%q}", service, kind)).Set(count)
-		}
+		c.setSpeedCounts(service, slow, doubtful, sure)
+		c.fleets.counted[service] = true
+	}
+}
+
+// clearSpeedCounts sets the metrics of the workers' speeds to 0 at the end of a term.
+func (c *Controller) clearSpeedCounts() {
+	for service := range c.fleets.counted {
+		c.setSpeedCounts(service, 0, 0, 0)
+	}
+}
+
+func (c *Controller) setSpeedCounts(service string, slow, doubtful, sure uint64) {
+	for kind, count := range map[string]uint64{"slow": slow, "doubtful": doubtful, "sure": sure} {
+		c.opts.Counters.Counter(fmt.Sprintf("chestnutsail_workers_speed{service=%q,speed=%q}", service, kind)).Set(count)
 	}
 }
 
@@ -139,6 +172,9 @@
 // service are uneven, and 0 for others. chain is the time in milliseconds that the rest of its job takes at speed 1.
 // It reports late if the part can't end by then on any worker.
 func (c *Controller) neededSpeed(p *part, chain, deadline, now clock.Millis) (needed float64, late bool) {
+	if p.step.UntilCancelled || chain <= 0 {
+		return 0, !p.step.UntilCancelled && now > deadline
+	}
 	fastest := 1.0
 	service := c.fleets.byService[p.job.record.Service]
 	demanding := service.fleet.IsUneven() && p.job.record.Priority == urgentPriority
@@ -151,17 +187,29 @@
 	if !demanding {
 		return 0, false
 	}
-	return math.Ceil(float64(chain)/float64(deadline-now)/minSpeedStep) * minSpeedStep, false
+	needed = math.Ceil(float64(chain)/float64(deadline-now)/minSpeedStep) * minSpeedStep
+	return min(needed, fastest), false
 }
 
 // learnSpeeds compares the progress of the runs of a part with each other. Members of a gang have
-// equal work. Tasks of other steps differ, and are also compared with those that have finished.
-func (c *Controller) learnSpeeds(p *part, taskDuration float64) {
-	compared := p.comparableRuns(taskDuration)
-	logSum, count := 0.0, float64(len(compared))
-	for _, r := range compared {
-		logSum += math.Log(r.pace.totalTime * r.node.expectedSpeed())
+// equal work. Tasks of other steps differ, and are also compared with those that have finished. Runs that
+// tell nothing of the usual speed of their workers have no sample. taskDuration is the time in milliseconds that a
+// task of the part takes on a worker of speed 1.
+func (c *Controller) learnSpeeds(p *part, taskDuration float64, now clock.Millis) {
+	if now-p.comparedAt < comparisonInterval {
+		return
+	}
+	p.comparedAt = now
+	var compared []*run
+	logSum := 0.0
+	for _, r := range p.runs() {
+		r.sample = speed.Sample{}
+		if c.isComparable(r, taskDuration, now) {
+			compared = append(compared, r)
+			logSum += math.Log(r.pace.totalTime * c.earlierSpeed(r.node))
+		}
 	}
+	count := float64(len(compared))
 	if p.measured.tasks > 0 {
 		logSum += float64(p.measured.tasks) * math.Log(float64(p.measured.mean()))
 		count += float64(p.measured.tasks)
@@ -176,27 +224,22 @@
 	}
 	// A run is part of its own reference, the more so the fewer runs there are.
 	weight *= (count - 1) / count
-	changed := make(map[*node]bool, len(compared))
 	for _, r := range compared {
 		precision := min(1, float64(r.percent-r.pace.startPercent)/precisePercents)
 		r.sample = speed.Compare(reference, r.pace.totalTime, weight*precision)
-		changed[r.node] = true
-	}
-	for n := range maps.Keys(changed) {
-		c.updateSpeed(n)
+		c.updateSpeed(r.node)
 	}
 }
 
-// comparableRuns returns the runs of a part whose rate of progress is known and tells the usual speed of
-// their workers. taskDuration is the time in milliseconds that a task of the part takes on a worker of
-// speed 1.
-func (p *part) comparableRuns(taskDuration float64) []*run {
-	var list []*run
-	for _, r := range p.runs() {
-		usual := r.pace.totalTime > 0 && r.pace.totalTime*min(r.node.expectedSpeed(), 1) < slowRatio*taskDuration
-		if usual && (p.step.Gang || !p.runsRemotely(r)) {
-			list = append(list, r)
-		}
-	}
-	return list
+// isComparable reports whether the rate of progress of a run is known and tells the usual speed of its worker.
+func (c *Controller) isComparable(r *run, taskDuration float64, now clock.Millis) bool {
+	p, n := r.task.part, r.node
+	switch {
+	case r.pace.totalTime <= 0, n.warmup.Worth(now) < 1:
+		return false
+	case !p.step.Gang && p.runsRemotely(r):
+		// The members of a gang are remote together.
+		return false
+	}
+	return r.pace.totalTime*min(c.earlierSpeed(n), 1) < slowRatio*taskDuration
 }
--- a/planner/speed.go
+++ b/planner/speed.go
@@ -48,12 +48,59 @@
 // suitsUrgent reports whether a node is surely fast enough for urgent work.
 func (p *plan) suitsUrgent(node *Node) bool { return node.SureSpeed >= p.TightSpeed[node.Service] }
 
-// allowSlow clears the speeds that units under a guarantee need once they have waited for maxGuaranteedWait: a
-// guarantee has to be met in a bounded time, on whatever nodes there are.
+// allowSlow clears the needed speeds that can't be had: those of units for which there are too few nodes that are
+// fast enough, even if these were empty, and that are therefore late; and those of units under a guarantee that
+// have waited for maxGuaranteedWait, since a guarantee has to be met in a bounded time on whatever nodes there are.
 func (p *plan) allowSlow() {
 	for i := range p.Units {
-		if u := &p.Units[i]; u.Guaranteed && u.Waited >= maxGuaranteedWait {
+		u := &p.Units[i]
+		if u.MinSpeed == 0 {
+			continue
+		}
+		switch {
+		case u.Guaranteed && u.Waited >= maxGuaranteedWait:
 			u.MinSpeed = 0
+		case !p.fitsFastNodes(u):
+			u.MinSpeed, u.Late = 0, true
+		}
+	}
+}
+
+// fitsFastNodes reports whether a unit fits on nodes that are fast enough for it if they are empty. A gang that is
+// kept in one rack must fit into one, unless it fits into no rack at all.
+func (p *plan) fitsFastNodes(u *Unit) bool {
+	if !u.Gang || !u.SameRack {
+		fast, _ := p.slotsWhenEmpty(u, p.allNodes)
+		return fast >= p.requiredTasks(u)
+	}
+	fitsRack := false
+	for _, rack := range p.racks {
+		fast, all := p.slotsWhenEmpty(u, p.byRack[rack])
+		if fast >= u.Count {
+			return true
+		}
+		fitsRack = fitsRack || all >= u.Count
+	}
+	if fitsRack {
+		return false
+	}
+	fast, _ := p.slotsWhenEmpty(u, p.allNodes)
+	return fast >= u.Count
+}
+
+// slotsWhenEmpty returns how many tasks of a unit fit on the nodes of a set if these are empty: on those that are fast
+// enough for it, and on all.
+func (p *plan) slotsWhenEmpty(u *Unit, set []int) (fast, all int) {
+	for _, n := range set {
+		node := &p.Nodes[n]
+		if !node.suits(u) {
+			continue
+		}
+		slots := p.slots(u, n, node.Capacity)
+		all += slots
+		if node.Speed >= u.MinSpeed {
+			fast += slots
 		}
 	}
+	return fast, all
 }
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -10,7 +10,7 @@
 //
 //	var m speed.Mean
 //	m.Add(speed.Compare(1250, 1000, speed.MemberWeight)) // 1.25 s elsewhere, 1 s here
-//	fleet := speed.FleetOf(slices.Values(means))
+//	fleet = speed.FleetOf(slices.Values(means), fleet)
 //	m.Estimate(fleet).Expected // above 1
 package speed
 
@@ -41,6 +41,8 @@
 	// unevenSpread is the spread from which a slow worker, one deviation below the usual one, takes
 	// a third longer than it.
 	unevenSpread = 0.29
+	// evenSpread is the spread below which an uneven fleet is even again.
+	evenSpread = 0.24
 	// sureDeviations is how many standard deviations the sure speed is below the expected one:
 	// nine workers in ten reach it.
 	sureDeviations = 1.28
@@ -123,28 +125,42 @@
 
 // Fleet is what is known of the speeds of the workers of one service together. The zero value is a
 // fleet of which nothing is known.
-type Fleet struct{ spread float64 }
+type Fleet struct {
+	spread float64
+	uneven bool
+}
 
 // Spread returns the standard deviation of the logarithms of the speeds, or 0 if it is not known.
 func (f Fleet) Spread() float64 { return f.spread }
 
-// FleetOf returns what the measured workers show of their fleet.
-func FleetOf(workers iter.Seq[Mean]) Fleet {
-	known, squares := 0, 0.0
+// IsUneven reports whether the speeds differ so much that it matters to most work on which workers it runs.
+func (f Fleet) IsUneven() bool { return f.uneven }
+
+// FleetOf returns what the measured workers show of their fleet, of which before was known until now.
+func FleetOf(workers iter.Seq[Mean], before Fleet) Fleet {
+	known, sum, squares, noise := 0.0, 0.0, 0.0, 0.0
 	for m := range workers {
 		if m.weight < minKnownWeight {
 			continue
 		}
 		log := m.logSum / m.weight
+		sum += log
+		squares += log * log
 		// What the samples scatter is not a difference between workers.
-		squares += log*log - ordinarySpread*ordinarySpread/m.weight
+		noise += ordinarySpread * ordinarySpread / m.weight
 		known++
 	}
-	if known < minKnownWorkers || squares <= 0 {
+	if known < minKnownWorkers {
+		return Fleet{}
+	}
+	variance := (squares - sum*sum/known - noise) / known
+	if variance <= 0 {
 		return Fleet{}
 	}
-	return Fleet{spread: math.Sqrt(squares / float64(known))}
+	limit := unevenSpread
+	if before.uneven {
+		limit = evenSpread
+	}
+	spread := math.Sqrt(variance)
+	return Fleet{spread: spread, uneven: spread > limit}
 }
-
-// IsUneven reports whether the speeds differ so much that it matters to most work on which workers it runs.
-func (f Fleet) IsUneven() bool { return f.spread > unevenSpread }
--- a/speeds/speeds.go
+++ b/speeds/speeds.go
@@ -14,6 +14,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math"
 
 	"github.com/fxamacker/cbor/v2"
@@ -35,6 +37,9 @@
 	logScale    = 100
 )
 
+// ErrUnreadable means that the key holds something else than measurements.
+var ErrUnreadable = errors.New("speeds: unreadable record")
+
 // Store is the part of the store's API that an Archive uses.
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Entry, error)
@@ -67,7 +72,8 @@
 // New returns an Archive.
 func New(opts Options) *Archive { return &Archive{opts: opts} }
 
-// Load returns what the last leader has saved; no rows and no error if nothing was.
+// Load returns what the last leader has saved; no rows and no error if nothing was. After ErrUnreadable, Save
+// replaces what is there.
 func (a *Archive) Load(ctx context.Context) ([]Row, error) {
 	entry, err := a.opts.Store.Get(ctx, Key)
 	if kv.KindOf(err) == kv.Missing {
@@ -78,7 +84,11 @@
 		return nil, err
 	}
 	a.version = entry.Version
-	return decode(entry.Value)
+	rows, err := decode(entry.Value)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	return rows, nil
 }
 
 // Save replaces what is stored by the rows, as the leader of a term. After an error, Load has to be called
@@ -126,7 +136,7 @@
 		return nil, err
 	}
 	rows := make([]Row, 0, len(list))
-	for _, w := range list {
+	for _, w := range list[:min(len(list), maxRows)] {
 		rows = append(rows, Row{
 			Worker: w.Worker, StartedAt: clock.Millis(w.StartedAt) * clock.Second,
 			Measured: speed.MeanOf(float64(w.Weight)/weightScale, float64(w.Log)/logScale),
