--- a/controller/leading.go
+++ b/controller/leading.go
@@ -14,7 +14,7 @@
 	c.jobs = make(map[string]*job)
 	c.nodes = make(map[string]*node)
 	c.invalidEntries = make(map[string]uint64)
-	c.dirty = make(map[*job]bool)
+	c.dirty, c.pastUnits = make(map[*job]bool), nil
 	c.unreachable = nil
 	c.demandPeaks, c.fleets = make(map[string]*peak.Peak), newFleets()
 	c.runTimes = estimate.New[string]()
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -18,6 +18,7 @@
 	"slices"
 
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/shortage"
 )
 
 // Shape is an amount of resources: what a task needs, or what a worker has.
@@ -143,12 +144,21 @@
 	// LastAttempt units have a task whose next failure fails the whole job. They are never placed
 	// on suspect or quarantined nodes, and on slow ones only if they have waited for too long.
 	LastAttempt bool
+	// Begun units belong to a job of which other tasks are running or done.
+	Begun bool
 	// Lasting units have tasks that run until their job is cancelled.
 	Lasting bool
 	// Hopeless units belong to a job that is so late that finishing it is worth nothing any more.
 	Hopeless bool
-	// Late units can no longer meet the latency objective of their job, even if they start now.
-	Late bool
+	// Late units can no longer meet the latency objective of their job, even if they start now. Slack
+	// is the time in milliseconds within which a unit must start to meet it.
+	Late  bool
+	Slack clock.Millis
+	// Account is the client account that the unit's job belongs to.
+	Account string
+	// Turn orders the units of a priority that can be in time while there is too little room for all. Plan
+	// sets it.
+	Turn shortage.Turn
 	// Rank orders units of the same priority; the lowest is served first. Waited is how long the
 	// unit has been waiting, and Estimate is the estimated run time of a task. All three are in
 	// milliseconds.
@@ -171,6 +181,8 @@
 	Nodes []int
 	// Loss is the work in core-seconds that is lost if the task or gang is stopped.
 	Loss float64
+	// Left is the estimated time in milliseconds until the work ends.
+	Left clock.Millis
 	// Pinned work is never evicted.
 	Pinned bool
 }
@@ -180,6 +192,9 @@
 	Nodes   []Node
 	Units   []Unit
 	Running []RunningWork
+	// Past lists units of the recent past: those whose Slack is negative became late before they started, the
+	// others started in time. They count for what callers of a size and of an account get.
+	Past []Unit
 	// Headroom is the number of accelerators that are kept free for urgent units that arrive
 	// later, by service. Units of other priorities normally do not use them.
 	Headroom map[string]int
@@ -207,6 +222,8 @@
 	Evict []int
 	// Blocked lists the units of which no task starts, in the order in which they were served.
 	Blocked []int
+	// Deferred lists the units that are deferred, in the order of Input.Units.
+	Deferred []int
 	// Stuck lists blocked units that have waited for long although the free resources would
 	// be enough for them. It is limited to maxStuckUnits.
 	Stuck []Stuck
@@ -249,6 +266,7 @@
 // hopeless units last. It does not modify its input.
 func Plan(in Input) Output {
 	p := newPlan(in)
+	p.setTurns()
 	for _, i := range p.order() {
 		if p.Units[i].Priority > 0 && !p.headroomReserved {
 			p.reserveHeadroom()
@@ -314,6 +332,7 @@
 		falseFirst(a.Hopeless, b.Hopeless),
 		cmp.Compare(a.Priority, b.Priority),
 		falseFirst(a.Late, b.Late),
+		cmp.Compare(a.Turn, b.Turn),
 		cmp.Compare(a.Rank, b.Rank),
 	)
 }
