--- a/cmd/chestnutsail/main.go
+++ b/cmd/chestnutsail/main.go
@@ -42,7 +42,7 @@
 		&entryCommand{}, &serveCommand{},
 		&checkCommand{}, &getCommand{}, &diffCommand{}, &applyCommand{},
 		&submitCommand{}, &waitCommand{}, &cancelCommand{}, &loadCommand{},
-		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{}, &explainCommand{},
+		&statusCommand{}, &drainCommand{}, &traceCommand{}, &replayCommand{}, &explainCommand{}, &lintCommand{},
 		&tokenCommand{}, &completionCommand{}, &versionCommand{},
 	}
 }
