controller, workflow: apply new policies of a queue to accepted jobs

Cause: intake copied service, priority, attempts and objective of the queue into the job's record, and the leader went by that copy for as long as the job lived.

Change: the copied values are a workflow.Policy with the version it is from. The leader adopts the newest one of the configuration, the progress and the record within a tick, also for occurrences that are due later and for tasks that have to run again. A changed service is recorded with the progress, so that a later leader knows it when the queue has been removed. A leader that is behind goes by the version that accepted the job. Runs under way stay where they are.

Why it works: no placement reads the record's copy any more, unless no newer policy is known.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -143,6 +143,8 @@
 	// invalidEntries holds the version of each entry that was found to be no worker's, by key.
 	invalidEntries map[string]uint64
 	dirty          map[*job]bool
+	// policyVersion is the version of the configuration whose policies the jobs have.
+	policyVersion int64
 	// flushing is set while progress is being written to the store. dirty holds the jobs whose
 	// progress has yet to be written.
 	flushing bool
@@ -355,6 +357,7 @@
 		return
 	}
 	now := c.opts.Clock.Now()
+	c.adoptPolicies()
 	for _, n := range c.nodes {
 		c.checkNodeTimeouts(n, now)
 	}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -187,7 +187,7 @@
 		for n := range 2 {
 			// Both jobs were recorded for the same accelerators, and neither run was ordered.
 			c.store.Put(board.RecordKey(jobID(n)), workflow.Encode(workflow.Record{
-				Queue: "batch", Service: "svc", Priority: 2, Attempts: 2, Spec: workflow.Spec{Payload: "ms=1500", Steps: []workflow.Step{wholeWorker}},
+				Queue: "batch", Policy: workflow.Policy{Service: "svc", Priority: 2, Attempts: 2}, Spec: workflow.Spec{Payload: "ms=1500", Steps: []workflow.Step{wholeWorker}},
 			}))
 			c.store.Put(board.ProgressKey(jobID(n)), workflow.Encode(workflow.Progress{
 				State: workflow.Running,
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -41,6 +41,8 @@
 	leaderTTL clock.Millis
 	// evacuable reports whether failure domains may be evacuated.
 	evacuable bool
+	// config is the configuration of all instances.
+	config atomic.Pointer[site.Config]
 }
 
 func newCluster(workers int) *cluster { return newClusterWithLease(workers, lease) }
@@ -49,6 +51,7 @@
 // to the given length in milliseconds.
 func newClusterWithLease(workers int, lease clock.Millis) *cluster {
 	c := &cluster{store: platformtest.NewStore(), lease: lease}
+	c.config.Store(queues)
 	DeferCleanup(c.store.Close)
 	for i := range workers {
 		c.addWorker(fmt.Sprintf("i-%d", i))
@@ -157,7 +160,7 @@
 	i.runner = controller.New(controller.Options{
 		Evacuations: c.followEvacuations(i, clk, entry), EvacuationsPrefix: platform.EvacuationPrefix,
 		Store: i.hooks, Workers: i.hooks, Hosts: hosts, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
-		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: func() *site.Config { return queues },
+		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: c.config.Load,
 		Limits: func() controller.Limits {
 			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, ReportInterval: c.reportInterval}
 		},
@@ -173,7 +176,7 @@
 		},
 	})
 	i.handler = intake.New(intake.Options{
-		Name: fmt.Sprint("e", c.instanceCount), Store: i.Store, Board: i.board, Config: func() *site.Config { return queues },
+		Name: fmt.Sprint("e", c.instanceCount), Store: i.Store, Board: i.board, Config: c.config.Load,
 		Reachable: func() bool { return !i.unreachable.Load() },
 		Clock:     clk, Log: entry,
 	})
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -16,6 +16,10 @@
 type job struct {
 	id     string
 	record *workflow.Record
+	// policy is the newest known policy of the job's queue, and policyChanged reports whether it ever differed from
+	// that of the record.
+	policy        workflow.Policy
+	policyChanged bool
 	// progress is what an earlier leader recorded; its Parts are dropped once they are
 	// restored.
 	progress  workflow.Progress
@@ -111,6 +115,10 @@
 		endedAt: v.Progress.EndedAt, endRecorded: v.Progress.State.Final(), cancelled: v.Cancelled, learnedAt: c.opts.Clock.Now(),
 	}
 	c.jobs[v.ID] = j
+	j.policy = v.Record.Policy
+	if recorded := v.Progress.Policy; recorded != nil && recorded.Version >= j.policy.Version {
+		j.policy, j.policyChanged = *recorded, true
+	}
 	c.restoreHeldEnd(j, v.Held)
 	for _, p := range j.progress.Parts {
 		c.restorePart(j, p)
@@ -121,6 +129,9 @@
 	if j.cancelled && !j.state.Final() {
 		c.cancelJob(j)
 	}
+	if c.workersListed && !j.state.Final() {
+		c.adoptPolicy(j)
+	}
 	c.finishIfDone(j)
 }
 
@@ -214,6 +225,9 @@
 // encode returns the progress of a job as it is recorded in the store.
 func (j *job) encode() workflow.Progress {
 	p := workflow.Progress{State: j.state, EndedAt: j.endedAt}
+	if j.policyChanged {
+		p.Policy = &j.policy
+	}
 	for _, row := range j.parts {
 		for _, x := range row {
 			if stepProgress, used := x.encode(); used {
@@ -244,11 +258,7 @@
 		case t.done:
 			out.Done = append(out.Done, t.index)
 		case t.lastRun > 0:
-			failures := t.failures
-			if p.step.Gang {
-				failures = p.gangFailures
-			}
-			out.Tasks = append(out.Tasks, workflow.TaskProgress{Index: t.index, Run: t.lastRun, Failures: failures, Checkpoint: t.checkpoint})
+			out.Tasks = append(out.Tasks, workflow.TaskProgress{Index: t.index, Run: t.lastRun, Failures: p.failuresOf(t), Checkpoint: t.checkpoint})
 		}
 	}
 	return out, out.AllDone || len(out.Places) > 0 || len(out.Done) > 0 || len(out.Tasks) > 0
--- a/controller/leading.go
+++ b/controller/leading.go
@@ -15,7 +15,7 @@
 	c.nodes = make(map[string]*node)
 	c.invalidEntries = make(map[string]uint64)
 	c.dirty, c.pastUnits = make(map[*job]bool), nil
-	c.unreachable = nil
+	c.unreachable, c.policyVersion = nil, 0
 	c.demandPeaks, c.fleets = make(map[string]*peak.Peak), newFleets()
 	c.runTimes = estimate.New[string]()
 	c.loadJobs(term)
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -193,7 +193,7 @@
 	fits := make(map[*job]bool)
 	used := make(map[string]int)
 	for _, j := range c.unfinishedJobs() {
-		if j.record.Priority != urgentPriority {
+		if j.policy.Priority != urgentPriority {
 			continue
 		}
 		need := 0
@@ -270,7 +270,7 @@
 	objective := c.objective(j)
 	needed, late := c.neededSpeed(p, c.longestChainFrom(p), begin+objective, now)
 	u := planner.Unit{
-		Service: r.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: r.Priority, Guaranteed: guaranteed,
+		Service: j.policy.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: j.policy.Priority, Guaranteed: guaranteed,
 		Shape: p.shape(), Count: len(waiting), Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
 		Rank: begin + objective, Waited: now - p.readySince, Estimate: c.predictRunTime(p),
 		Late:     late && !p.step.UntilCancelled,
@@ -290,11 +290,7 @@
 				u.Avoid[snap.nodeIndex[n]] = true
 			}
 		}
-		failures := t.failures
-		if p.step.Gang {
-			failures = p.gangFailures
-		}
-		u.LastAttempt = u.LastAttempt || failures+1 >= r.Attempts
+		u.LastAttempt = u.LastAttempt || p.failuresOf(t)+1 >= j.policy.Attempts
 	}
 	snap.unitParts = append(snap.unitParts, p)
 	snap.input.Units = append(snap.input.Units, u)
@@ -306,7 +302,7 @@
 	switch {
 	case guaranteed:
 		return 1e9
-	case p.job.record.Priority == urgentPriority:
+	case p.job.policy.Priority == urgentPriority:
 		return float64(p.step.Count) * planner.UrgentTaskWorth
 	}
 	return 0
@@ -333,7 +329,7 @@
 }
 
 func (c *Controller) addRunningWork(snap *snapshot, p *part, runs []*run, guaranteed bool, now clock.Millis) {
-	work := planner.RunningWork{Priority: p.job.record.Priority, Guaranteed: guaranteed, Shape: p.shape(), Pinned: p.step.UntilCancelled}
+	work := planner.RunningWork{Priority: p.job.policy.Priority, Guaranteed: guaranteed, Shape: p.shape(), Pinned: p.step.UntilCancelled}
 	for _, r := range runs {
 		work.Nodes = append(work.Nodes, snap.nodeIndex[r.node])
 		work.Loss += c.lostWork(r, now)
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -249,11 +249,7 @@
 	if p.job.state.Final() || t.done {
 		return
 	}
-	failures := t.failures
-	if p.step.Gang {
-		failures = p.gangFailures
-	}
-	if failures >= p.job.record.Attempts {
+	if p.failuresOf(t) >= p.job.policy.Attempts {
 		c.finish(p.job, workflow.Failed, "a task has failed as often as its queue allows")
 	}
 }
--- a/controller/runtimes.go
+++ b/controller/runtimes.go
@@ -96,7 +96,9 @@
 }
 
 // objective returns the latency objective of a job in milliseconds, based on predicted run times.
-func (c *Controller) objective(j *job) clock.Millis { return j.record.Objective(c.predictStep(j)) }
+func (c *Controller) objective(j *job) clock.Millis {
+	return j.policy.Objective(&j.record.Spec, c.predictStep(j))
+}
 
 // longestChainFrom returns the predicted run time in milliseconds of the longest chain of dependent
 // steps that begins with a part.
--- a/controller/speeds.go
+++ b/controller/speeds.go
@@ -176,8 +176,8 @@
 		return 0, !p.step.UntilCancelled && now > deadline
 	}
 	fastest := 1.0
-	service := c.fleets.byService[p.job.record.Service]
-	demanding := service.fleet.IsUneven() && p.job.record.Priority == urgentPriority
+	service := c.fleets.byService[p.job.policy.Service]
+	demanding := service.fleet.IsUneven() && p.job.policy.Priority == urgentPriority
 	if demanding {
 		fastest = max(fastest, service.fastest)
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -250,8 +250,7 @@
 		return h.answerDuplicate(g, view.Record, spec, "accepted before")
 	}
 	record := workflow.Record{
-		Queue: g.Queue.Name, Service: g.Queue.Service, Account: g.Account.Name,
-		Priority: g.Queue.Priority, Attempts: max(g.Queue.Attempts, 1), ObjectiveFactor: g.Queue.ObjectiveFactor, Target: g.Queue.Target,
+		Queue: g.Queue.Name, Account: g.Account.Name, Policy: workflow.PolicyOf(g.Queue, g.Version),
 		AcceptedAt: h.opts.Clock.Now(), Token: h.token(), Spec: spec,
 	}
 	entry := kv.Entry{Key: board.RecordKey(g.ID), Value: workflow.Encode(record)}
--- a/site/site.go
+++ b/site/site.go
@@ -77,6 +77,16 @@
 	return c.Queues[best], true
 }
 
+// Queue returns the queue with the given name. It returns false if there is none.
+func (c *Config) Queue(name string) (Queue, bool) {
+	for _, q := range c.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
 // ByKey returns the account that owns an API key. It returns false if there is none.
 func (c *Config) ByKey(key string) (Account, bool) {
 	for _, a := range c.Accounts {
--- a/workflow/progress.go
+++ b/workflow/progress.go
@@ -73,8 +73,11 @@
 type Progress struct {
 	State State `cbor:"s"`
 	// EndedAt is the Unix time in milliseconds at which the job reached a final state; 0 before that.
-	EndedAt clock.Millis   `cbor:"w,omitempty"`
-	Parts   []StepProgress `cbor:"p,omitempty"`
+	EndedAt clock.Millis `cbor:"w,omitempty"`
+	// Policy is the newest known policy of the queue; nil if it is that of the record. It applies if the queue is no
+	// longer in the configuration.
+	Policy *Policy        `cbor:"y,omitempty"`
+	Parts  []StepProgress `cbor:"p,omitempty"`
 }
 
 // Encode returns v in CBOR. It panics if v has a type that can't be encoded.
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -5,8 +5,8 @@
 // # Usage
 //
 //	if err := spec.Check(); err != nil { ... } // *workflow.Error
-//	record := workflow.Record{ID: id, Queue: q.Name, Spec: spec}
-//	objective := record.Objective(workflow.Declared)
+//	record := workflow.Record{ID: id, Queue: q.Name, Policy: workflow.PolicyOf(q, version), Spec: spec}
+//	objective := record.Objective(&record.Spec, workflow.Declared)
 package workflow
 
 import (
@@ -171,23 +171,13 @@
 type Record struct {
 	ID      string `cbor:"-"`
 	Queue   string `cbor:"q"`
-	Service string `cbor:"s"`
 	Account string `cbor:"a"`
-	// Priority, Attempts, ObjectiveFactor and Target are copied from the queue when the job is
-	// accepted.
-	Priority        int          `cbor:"p,omitempty"`
-	Attempts        int          `cbor:"t,omitempty"`
-	ObjectiveFactor float64      `cbor:"x,omitempty"`
-	Target          clock.Millis `cbor:"o,omitempty"`
+	// Policy is that of the queue when the job was accepted. A later version of the configuration applies to
+	// accepted jobs as well.
+	Policy
 	// AcceptedAt is the Unix time in milliseconds at which the job was accepted.
 	AcceptedAt clock.Millis `cbor:"w"`
 	// Token distinguishes this record from the record of another submission with the same ID.
 	Token string `cbor:"k"`
 	Spec  Spec   `cbor:"j"`
 }
-
-// Objective returns the latency objective of the job: the time in milliseconds within which the
-// job should be done. estimate returns the run time of a task of a step, such as Declared.
-func (r *Record) Objective(estimate func(*Step) clock.Millis) clock.Millis {
-	return clock.Millis(r.ObjectiveFactor*float64(r.Spec.LongestChain(estimate))) + r.Target
-}
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -33,7 +33,7 @@
 	)
 
 	It("has a latency objective that follows from its longest chain of steps", func() {
-		r := workflow.Record{ObjectiveFactor: 2, Target: 50, Spec: workflow.Spec{Steps: []workflow.Step{
+		r := workflow.Record{Policy: workflow.Policy{ObjectiveFactor: 2, Target: 50}, Spec: workflow.Spec{Steps: []workflow.Step{
 			{Count: 1, Estimate: 100},
 			{Count: 9, Estimate: 400},
 			{Count: 1, Estimate: 250, After: []int{0}},
@@ -43,7 +43,7 @@
 		Expect(r.Spec.LongestChains(workflow.Declared)[0]).To(Equal(350 * clock.Millisecond))
 		Expect(r.Spec.LongestChains(workflow.Declared)[2]).To(Equal(250 * clock.Millisecond))
 		Expect((&workflow.Spec{}).LongestChain(workflow.Declared)).To(BeZero())
-		Expect(r.Objective(workflow.Declared)).To(Equal(850 * clock.Millisecond))
+		Expect(r.Objective(&r.Spec, workflow.Declared)).To(Equal(850 * clock.Millisecond))
 	})
 
 	It("starts its occurrences at fixed intervals from its first time if it is periodic", func() {
