controller: keep only the tasks of a job that have begun

Cause: the leader created a structure for each task of each occurrence that was due, before any of them had room. A single occurrence of 64 steps of 4,096 tasks did the same on a smaller scale.

The leader's heap grows by 426 MB with that job and by 36 MB with the largest one that runs once.

Change: a part holds structures for its tasks that have been placed and are not done, and a bit for each done one. A job of more than 1,024 parts has a window of open occurrences, of which a plan considers those that have begun and at most 64 parts of others; the done ones before it are one number in the progress. Smaller jobs keep all their parts, and nothing is refused.

Why it works: what a job takes follows from what the workers run, not from what its caller asks for. Occurrences have the same steps, so those beyond the window could not start where the ones in it can't.

--- a/controller/flush.go
+++ b/controller/flush.go
@@ -64,6 +64,7 @@
 		}
 		delete(c.dirty, j)
 		j.unrecordedStart = 0
+		j.closeOccurrences()
 		if !j.state.Final() {
 			j.addPlannedRuns(&b, now)
 		}
@@ -82,14 +83,11 @@
 
 // addPlannedRuns adds the job's planned runs to a batch, so that their orders follow the write.
 func (j *job) addPlannedRuns(b *batch, now clock.Millis) {
-	for _, row := range j.parts {
-		for _, p := range row {
-			for _, t := range p.tasks {
-				if t.run == nil || (t.run.state != planned && t.run.state != recording) {
-					continue
-				}
-				t.run.setState(recording, now)
-				b.runs = append(b.runs, t.run)
+	for _, p := range j.allParts() {
+		for _, r := range p.runs() {
+			if r.state == planned || r.state == recording {
+				r.setState(recording, now)
+				b.runs = append(b.runs, r)
 			}
 		}
 	}
--- a/controller/pace.go
+++ b/controller/pace.go
@@ -97,7 +97,7 @@
 // assessPace finds slow workers by comparing the runs of a part with each other, and restarts
 // stalled runs.
 func (c *Controller) assessPace(p *part, now clock.Millis) {
-	if p.step.UntilCancelled || p.doneTasks == len(p.tasks) || p.job.state.Final() {
+	if p.step.UntilCancelled || p.isDone() || p.job.state.Final() {
 		return
 	}
 	taskDuration, known := c.taskDuration(p)
@@ -119,17 +119,6 @@
 	}
 }
 
-// runs returns the current runs of a part's tasks.
-func (p *part) runs() []*run {
-	var list []*run
-	for _, t := range p.tasks {
-		if t.run != nil {
-			list = append(list, t.run)
-		}
-	}
-	return list
-}
-
 // taskDuration estimates the time in milliseconds that a task of a part takes on a worker of
 // speed 1, and reports whether there is enough data. It is the lower median over the tasks of
 // the part, which slow workers hardly change. It needs runs on at least two workers, or a task
@@ -137,8 +126,8 @@
 func (c *Controller) taskDuration(p *part) (float64, bool) {
 	var samples []float64
 	workers := make(map[*node]bool)
-	for _, t := range p.tasks {
-		if r := t.run; r != nil && r.pace.totalTime > 0 {
+	for _, r := range p.runs() {
+		if r.pace.totalTime > 0 {
 			samples = append(samples, r.pace.totalTime*c.earlierSpeed(r.node))
 			workers[r.node] = true
 		}
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -73,10 +73,10 @@
 // the same run number.
 func (c *Controller) placeUnit(snap *snapshot, s planner.Start, now clock.Millis) {
 	p := snap.unitParts[s.Unit]
-	waiting := p.waiting()
+	waiting := p.waiting(len(s.Nodes))
 	number := 1
 	if p.step.Gang {
-		for _, t := range p.tasks {
+		for _, t := range p.begun {
 			number = max(number, t.lastRun+1)
 		}
 	}
@@ -105,17 +105,6 @@
 	c.markChanged(p.job)
 }
 
-// waiting returns the tasks of a part that are not done and have no run.
-func (p *part) waiting() []*task {
-	var list []*task
-	for _, t := range p.tasks {
-		if !t.done && t.run == nil {
-			list = append(list, t)
-		}
-	}
-	return list
-}
-
 // snapshot returns the input of a plan made at the time now.
 func (c *Controller) snapshot(now clock.Millis) *snapshot {
 	unreachable, closed := c.unreachableDomains(now), c.closedDomains()
@@ -213,28 +202,24 @@
 
 // addJob adds the waiting tasks and the runs of a job to the input of a plan.
 func (c *Controller) addJob(snap *snapshot, j *job, guaranteed bool, now clock.Millis) {
-	for k := range j.record.Spec.OccurrenceCount() {
-		due := j.record.Spec.EarliestStart(k)
-		if due > 0 && now < due+occurrenceStartMargin {
-			return
-		}
+	j.openOccurrences(now, func(occurrence int) {
 		for i := range j.record.Spec.Steps {
-			p := j.partOf(k, i)
-			if p.doneTasks == len(p.tasks) {
+			p := j.partOf(occurrence, i)
+			if p.isDone() {
 				continue
 			}
 			c.addRunning(snap, p, guaranteed, now)
-			if j.stepReady(k, i) {
+			if j.stepReady(occurrence, i) {
 				c.addUnit(snap, p, guaranteed, now)
 			}
 		}
-	}
+	})
 }
 
 // stepReady reports whether all steps that must be done before a step are done.
 func (j *job) stepReady(occurrence, step int) bool {
 	for _, a := range j.record.Spec.Steps[step].After {
-		if p := j.parts[occurrence][a]; p.doneTasks < len(p.tasks) {
+		if !j.row(occurrence)[a].isDone() {
 			return false
 		}
 	}
@@ -246,7 +231,7 @@
 func (p *part) readyAt(begin, now clock.Millis) clock.Millis {
 	at := begin
 	for _, a := range p.step.After {
-		doneAt := p.job.parts[p.occurrence][a].doneAt
+		doneAt := p.job.row(p.occurrence)[a].doneAt
 		if doneAt == 0 {
 			return now
 		}
@@ -256,9 +241,9 @@
 }
 
 func (c *Controller) addUnit(snap *snapshot, p *part, guaranteed bool, now clock.Millis) {
-	waiting := p.waiting()
+	waiting := p.waitingCount()
 	// A gang is added only when all its tasks wait.
-	if len(waiting) == 0 || (p.step.Gang && len(waiting) < len(p.tasks)) {
+	if waiting == 0 || (p.step.Gang && waiting < p.size()) {
 		return
 	}
 	j := p.job
@@ -271,27 +256,25 @@
 	needed, late := c.neededSpeed(p, c.longestChainFrom(p), begin+objective, now)
 	u := planner.Unit{
 		Service: j.policy.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: j.policy.Priority, Guaranteed: guaranteed,
-		Shape: p.shape(), Count: len(waiting), Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
+		Shape: p.shape(), Count: waiting, Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
 		Rank: begin + objective, Waited: now - p.readySince, Estimate: c.predictRunTime(p),
 		Late:     late && !p.step.UntilCancelled,
 		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
 		Slack:    begin + objective - now - c.longestChainFrom(p), Account: r.Account,
-		Begun: len(p.step.After) > 0 || len(waiting) < len(p.tasks), MaxLoss: maxEvictionLoss(p, guaranteed),
+		Begun: len(p.step.After) > 0 || waiting < p.size(), MaxLoss: maxEvictionLoss(p, guaranteed),
 		MinSpeed: needed,
 	}
 	u.TasksOnNode = make(map[int]int)
 	u.Avoid = make(map[int]bool)
-	for _, t := range p.tasks {
-		if t.run != nil {
-			u.TasksOnNode[snap.nodeIndex[t.run.node]]++
-		}
-		for id := range t.failedOn {
-			if n := c.nodes[id]; n != nil {
-				u.Avoid[snap.nodeIndex[n]] = true
-			}
+	for _, run := range p.runs() {
+		u.TasksOnNode[snap.nodeIndex[run.node]]++
+	}
+	for id := range p.failedOn {
+		if n := c.nodes[id]; n != nil {
+			u.Avoid[snap.nodeIndex[n]] = true
 		}
-		u.LastAttempt = u.LastAttempt || p.failuresOf(t)+1 >= j.policy.Attempts
 	}
+	u.LastAttempt = max(p.mostFailures, p.gangFailures)+1 >= j.policy.Attempts
 	snap.unitParts = append(snap.unitParts, p)
 	snap.input.Units = append(snap.input.Units, u)
 }
@@ -312,9 +295,8 @@
 // input of a plan. A gang is evicted as a whole.
 func (c *Controller) addRunning(snap *snapshot, p *part, guaranteed bool, now clock.Millis) {
 	var gang []*run
-	for _, t := range p.tasks {
-		r := t.run
-		if r == nil || r.state == stopping {
+	for _, r := range p.runs() {
+		if r.state == stopping {
 			continue
 		}
 		if p.step.Gang {
--- a/controller/policies.go
+++ b/controller/policies.go
@@ -53,16 +53,14 @@
 
 // failIfExhausted fails a job if a task that is not done, or its gang, has failed as often as the queue allows.
 func (c *Controller) failIfExhausted(j *job) {
-	for _, row := range j.parts {
-		for _, p := range row {
-			if p.step.UntilCancelled || p.doneTasks == len(p.tasks) {
-				continue
-			}
-			for _, t := range p.tasks {
-				if !t.done && p.failuresOf(t) >= j.policy.Attempts {
-					c.finish(j, workflow.Failed, "a task has failed as often as its queue allows")
-					return
-				}
+	for _, p := range j.allParts() {
+		if p.step.UntilCancelled || p.isDone() {
+			continue
+		}
+		for _, t := range p.begun {
+			if !t.done && p.failuresOf(t) >= j.policy.Attempts {
+				c.finish(j, workflow.Failed, "a task has failed as often as its queue allows")
+				return
 			}
 		}
 	}
--- a/controller/polls.go
+++ b/controller/polls.go
@@ -73,7 +73,9 @@
 		n.unknownRuns[unknown] = true
 		c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "task": unknown.task.String(), "run": unknown.run}).Warn("controller: stopping an unknown run")
 		if p := c.partOfTask(c.jobs[unknown.task.Job], unknown.task); p != nil {
-			c.checkSurvivor(p.tasks[unknown.task.Index], n, unknown.run, "")
+			if t := p.find(unknown.task.Index); t != nil {
+				c.checkSurvivor(t, n, unknown.run, "")
+			}
 		}
 		c.sendStop(n, unknown, func() bool { return n.unknownRuns[unknown] }, func() {})
 	}
@@ -163,7 +165,8 @@
 		c.queueAck(n, e.Number, nil)
 		return
 	}
-	t := p.tasks[e.Task.Index]
+	t := p.task(e.Task.Index)
+	defer p.release(t)
 	r := t.run
 	current := r != nil && r.number == e.Run && r.node == n
 	c.opts.Log.WithFields(logrus.Fields{
@@ -183,16 +186,6 @@
 	c.finishIfDone(j)
 }
 
-func (c *Controller) partOfTask(j *job, t agent.Task) *part {
-	if j == nil || t.Step >= len(j.record.Spec.Steps) || t.Occurrence >= j.record.Spec.OccurrenceCount() {
-		return nil
-	}
-	if t.Index >= j.record.Spec.Steps[t.Step].Count {
-		return nil
-	}
-	return j.partOf(t.Occurrence, t.Step)
-}
-
 // completeTask handles a successful end of a run: it marks the task as done. A successful end of a
 // gang's member stands for all members, whichever run of the gang it belongs to.
 func (c *Controller) completeTask(n *node, t *task, r *run, current bool, e agent.RunEnd) {
@@ -214,9 +207,9 @@
 	if p.step.Gang {
 		p.markAllDone()
 	} else {
-		t.markDone()
+		p.markDone(t.index)
 	}
-	if p.doneTasks == len(p.tasks) {
+	if p.isDone() {
 		if p.doneAt == 0 {
 			p.doneAt = c.opts.Clock.Now()
 		}
@@ -240,6 +233,7 @@
 	if e.Reason == agent.Failed && !p.step.UntilCancelled && !t.done {
 		c.recordFailure(n, t)
 		t.failures++
+		p.mostFailures = max(p.mostFailures, t.failures)
 		if p.step.Gang && p.lastFailedRun != e.Run {
 			p.lastFailedRun = e.Run
 			p.gangFailures++
@@ -257,10 +251,10 @@
 // recordFailure counts a failure of a task against its worker and may quarantine the worker.
 // Consecutive failures of the same job count once, since the job may be at fault.
 func (c *Controller) recordFailure(n *node, t *task) {
-	if t.failedOn == nil {
-		t.failedOn = make(map[string]bool)
+	if t.part.failedOn == nil {
+		t.part.failedOn = make(map[string]bool)
 	}
-	t.failedOn[n.id] = true
+	t.part.failedOn[n.id] = true
 	now := c.opts.Clock.Now()
 	if n.lastFailedJob != t.part.job.id {
 		n.failures++
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -303,6 +303,7 @@
 	if !t.done && p.step.Gang && reason != agent.Done {
 		c.stopGang(p)
 	}
+	p.release(t)
 	c.markChanged(p.job)
 }
 
@@ -320,10 +321,8 @@
 // stopGang stops the remaining members of a gang, which can't continue without a member that
 // has ended.
 func (c *Controller) stopGang(p *part) {
-	for _, other := range p.tasks {
-		if other.run != nil {
-			c.stopRun(other.run, "another member of its gang has ended")
-		}
+	for _, other := range p.runs() {
+		c.stopRun(other, "another member of its gang has ended")
 	}
 }
 
@@ -331,7 +330,7 @@
 // member's checkpoint is valid for all members, so it is the one with the most progress.
 func (p *part) checkpoint() string {
 	best, checkpointPercent := "", -1
-	for _, t := range p.tasks {
+	for _, t := range p.begun {
 		if t.checkpoint != "" && t.checkpointPercent > checkpointPercent {
 			best, checkpointPercent = t.checkpoint, t.checkpointPercent
 		}
--- a/controller/stray.go
+++ b/controller/stray.go
@@ -54,8 +54,8 @@
 	if p == nil {
 		return false
 	}
-	r := p.tasks[key.task.Index].run
-	return r != nil && r.number == key.run && r.node == n
+	t := p.find(key.task.Index)
+	return t != nil && t.run != nil && t.run.number == key.run && t.run.node == n
 }
 
 // copyMayBeLate reports whether a copy of a run's order that got no answer may still be under way.
--- a/workflow/progress.go
+++ b/workflow/progress.go
@@ -78,6 +78,10 @@
 	// longer in the configuration.
 	Policy *Policy        `cbor:"y,omitempty"`
 	Parts  []StepProgress `cbor:"p,omitempty"`
+	// DoneBefore is the number of the first occurrences that are done and not in Parts. RunTimes is the last known run
+	// time of each step in them, in milliseconds; 0 if it was not measured.
+	DoneBefore int            `cbor:"d,omitempty"`
+	RunTimes   []clock.Millis `cbor:"t,omitempty"`
 }
 
 // Encode returns v in CBOR. It panics if v has a type that can't be encoded.
