controller, platform: bound the record of a job, and write rejected ones alone

Cause: a job's progress is one value of the store, of 41 bytes a begun task, and nothing bounded it. The store refuses a value of over 1 MB for good; the leader took that for a refusal that passes and wrote the same batch again and again, with the progress of other jobs in it.

Change: tasks of a job begin only while its record takes at most half of the largest value, and many done tasks are a set of bits. kv.Rejected tells what is refused for good from what is refused now; after it the jobs of a batch are written one by one, and a job that is rejected by itself is held back alone, without runs that take room. Large values share no transaction. The same cause in two more places: a submission that can't be stored is answered 400 at once in place of 503, and messages of ends that the store can't record hold fewer large ones.

Why it works: no record gets too large by the tasks that it holds, and one that does so by its checkpoints is written without them. Whatever else is rejected is found by the second write.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -54,8 +54,10 @@
 	Renew(ctx context.Context, w agent.Worker, r agent.Renewal) (agent.Report, error)
 }
 
-// Limits are the time limits of the installation, in milliseconds.
+// Limits are the limits of the installation. Times are in milliseconds.
 type Limits struct {
+	// MaxValue is the largest size in bytes of a value in the store; 0 means kv.MaxValue.
+	MaxValue int
 	// Lease is the longest lease that a worker grants.
 	Lease clock.Millis
 	// Stop is the longest time that a worker takes to stop a run.
@@ -99,7 +101,7 @@
 	EvacuationsPrefix string
 	// Config returns the current configuration.
 	Config func() *site.Config
-	// Limits returns the current time limits.
+	// Limits returns the current limits.
 	Limits   func() Limits
 	Clock    *clock.Clock
 	Counters *counters.Counters
@@ -143,6 +145,8 @@
 	// invalidEntries holds the version of each entry that was found to be no worker's, by key.
 	invalidEntries map[string]uint64
 	dirty          map[*job]bool
+	// longestID is the length of the longest worker ID.
+	longestID int
 	// policyVersion is the version of the configuration whose policies the jobs have.
 	policyVersion int64
 	// flushing is set while progress is being written to the store. dirty holds the jobs whose
--- a/controller/flush.go
+++ b/controller/flush.go
@@ -6,7 +6,6 @@
 	"github.com/chestnutsail/chestnutsail/board"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/kv"
-	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
 // maxBatchEntries is the largest number of entries that the store accepts in a transaction. Each condition
@@ -34,6 +33,9 @@
 		return
 	}
 	b := c.nextBatch()
+	if len(b.jobs) == 0 {
+		return
+	}
 	c.flushing = true
 	term := c.term
 	go func() {
@@ -49,11 +51,18 @@
 	}()
 }
 
+// nextBatch returns the next write: of one job, or of several jobs as long as they take few entries and bytes.
 func (c *Controller) nextBatch() batch {
 	b := batch{ops: []kv.Op{{Key: board.LeaderKey, Version: c.term, RequireVersion: true}}}
-	entryCount := 1
+	entryCount, bytes, alone := 1, 0, false
 	now := c.opts.Clock.Now()
 	for j := range c.dirty {
+		switch {
+		case now < j.heldBackUntil:
+			continue
+		case len(b.jobs) > 0 && (alone || j.writeAlone || bytes+j.recordedBytes > maxBatchBytes):
+			continue
+		}
 		// The version of the progress key and its new value.
 		entryCount += 2
 		if j.mayBeCancelledFirst() {
@@ -62,13 +71,20 @@
 		if entryCount > maxBatchEntries {
 			break
 		}
-		delete(c.dirty, j)
-		j.unrecordedStart = 0
 		j.closeOccurrences()
+		var runs []*run
 		if !j.state.Final() {
-			j.addPlannedRuns(&b, now)
+			runs = j.markRecording(now)
+		}
+		e := kv.Entry{Key: board.ProgressKey(j.id), Value: j.encodeFor(c.maxValue())}
+		if len(e.Value) > c.maxValue() {
+			c.holdBack(j, runs, len(e.Value), errTooLarge)
+			continue
 		}
-		e := kv.Entry{Key: board.ProgressKey(j.id), Value: workflow.Encode(j.encode())}
+		delete(c.dirty, j)
+		j.unrecordedStart, j.recordedBytes = 0, len(e.Value)
+		bytes, alone = bytes+len(e.Value), j.writeAlone
+		b.runs = append(b.runs, runs...)
 		b.jobs = append(b.jobs, j)
 		b.changes = append(b.changes, j.changes)
 		b.ends = append(b.ends, j.state.Final())
@@ -81,23 +97,25 @@
 	return b
 }
 
-// addPlannedRuns adds the job's planned runs to a batch, so that their orders follow the write.
-func (j *job) addPlannedRuns(b *batch, now clock.Millis) {
+// markRecording returns the job's planned runs, whose orders follow the write that records them.
+func (j *job) markRecording(now clock.Millis) []*run {
+	var runs []*run
 	for _, p := range j.allParts() {
 		for _, r := range p.runs() {
 			if r.state == planned || r.state == recording {
 				r.setState(recording, now)
-				b.runs = append(b.runs, r)
+				runs = append(runs, r)
 			}
 		}
 	}
+	return runs
 }
 
 func (c *Controller) onFlushed(b batch, version uint64, err error) {
 	switch kv.KindOf(err) {
 	case kv.OK:
 		for i, j := range b.jobs {
-			j.version = version
+			j.version, j.writeAlone = version, false
 			j.recordedChanges = max(j.recordedChanges, b.changes[i])
 			j.endRecorded = j.endRecorded || b.ends[i]
 			b.entries[i].Version = version
@@ -115,6 +133,9 @@
 			}
 		}
 		return
+	case kv.Rejected:
+		c.countRetry("rejected")
+		c.onRejected(b, err)
 	case kv.Conflict:
 		c.opts.Log.WithError(err).WithField("term", c.term).Warn("controller: progress not recorded, another write came first")
 		c.countRetry("conflict")
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -41,6 +41,8 @@
 	leaderTTL clock.Millis
 	// evacuable reports whether failure domains may be evacuated.
 	evacuable bool
+	// maxValue is the largest size in bytes of a value in the store; 0 means that of the stand-in.
+	maxValue int
 	// config is the configuration of all instances.
 	config atomic.Pointer[site.Config]
 }
@@ -118,6 +120,7 @@
 	jobsMirror *mirror.Mirror
 	handler    *intake.Handler
 	logs       *logtest.Hook
+	counters   *counters.Counters
 	// unreachable makes the instance assume that it can't reach the store.
 	unreachable atomic.Bool
 }
@@ -143,8 +146,8 @@
 			refusedWorkers: make(map[string]bool), misdirectedWorkers: make(map[string]bool), fullWorkers: make(map[string]bool),
 			unreachableWorkers: make(map[string]bool), unsendableWorkers: make(map[string]bool),
 		},
-		board: board.New(nil),
-		logs:  logtest.NewLocal(log),
+		board: board.New(nil), counters: counters.New(),
+		logs: logtest.NewLocal(log),
 	}
 	if change != nil {
 		change(i.hooks)
@@ -162,9 +165,9 @@
 		Store: i.hooks, Workers: i.hooks, Hosts: hosts, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: c.config.Load,
 		Limits: func() controller.Limits {
-			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, ReportInterval: c.reportInterval}
+			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, ReportInterval: c.reportInterval, MaxValue: c.maxValue}
 		},
-		Clock: clk, Counters: counters.New(), Log: entry,
+		Clock: clk, Counters: i.counters, Log: entry,
 	})
 	i.jobsMirror = mirror.New(mirror.Options{
 		Store: i.Store, Prefix: board.Prefix, Clock: clk, Log: entry,
@@ -224,6 +227,9 @@
 	return v.State()
 }
 
+// counted returns the value of a counter.
+func (i *instance) counted(name string) int { return int(i.counters.Counter(name).Get()) }
+
 // jobID returns a job ID of 16 hexadecimal digits.
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
 
--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	// has the outcome that it returns; nil calls nothing.
 	beforeCommit func(ops []kv.Op)
 	afterCommit  func(ops []kv.Op) error
+	// rejectedKey is the key of which the store accepts no write; "" if there is none.
+	rejectedKey string
 	// resumesAt is the time until which the instance is suspended.
 	resumesAt time.Time
 	// refuseRenewals makes all polls fail. orderAnswered delays these failures until it is closed, when
@@ -74,8 +77,11 @@
 
 func (h *hooks) Commit(ctx context.Context, ops []kv.Op) (uint64, error) {
 	h.mu.Lock()
-	delay, before, after := h.commitAnswerDelay, h.beforeCommit, h.afterCommit
+	delay, before, after, rejected := h.commitAnswerDelay, h.beforeCommit, h.afterCommit, h.rejectedKey
 	h.mu.Unlock()
+	if slices.ContainsFunc(ops, func(o kv.Op) bool { return o.Key == rejected }) {
+		return 0, &kv.Error{Op: "commit", Key: rejected, Kind: kv.Rejected, Err: errRejected}
+	}
 	if before != nil {
 		before(ops)
 	}
@@ -167,6 +173,7 @@
 
 // errAnswerLost is the error of a call whose answer is lost.
 var errAnswerLost = errors.New("answer lost")
+var errRejected = errors.New("the value is not accepted")
 
 // refuseRenewalsAfterOrder makes all polls fail, but none before a worker has answered the next order:
 // a worker that has refused a poll gets no order.
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -31,6 +31,12 @@
 	// are recorded in the store.
 	changes         int
 	recordedChanges int
+	// recordedBytes is the size of the progress that was written last. writeAlone is set if it must not be written
+	// together with other jobs, and heldBackUntil is the time until which it is not written and no task begins,
+	// because the store has rejected it.
+	recordedBytes int
+	writeAlone    bool
+	heldBackUntil clock.Millis
 	// endRecorded is set once a final state is recorded in the store.
 	endRecorded bool
 	// unrecordedStart is when the job began to run, until that is recorded; 0 otherwise.
--- a/controller/parts.go
+++ b/controller/parts.go
@@ -149,7 +149,7 @@
 // doneIndices returns the indices of the done tasks.
 func (p *part) doneIndices() []int {
 	var list []int
-	for i := range p.size() {
+	for i := 0; i < p.size() && len(list) < p.doneTasks; i++ {
 		if p.isTaskDone(i) {
 			list = append(list, i)
 		}
@@ -168,18 +168,21 @@
 	return n
 }
 
-// waiting returns the first n tasks, by index, that are not done and have no run. They count as begun from now on.
+// waiting returns n tasks that are not done and have no run, sorted by index: first those that have begun, and then
+// others, which count as begun from now on.
 func (p *part) waiting(n int) []*task {
 	var list []*task
-	for i := 0; i < p.size() && len(list) < n; i++ {
-		if p.isTaskDone(i) {
-			continue
+	for _, t := range p.begun {
+		if !t.done && t.run == nil && len(list) < n {
+			list = append(list, t)
 		}
-		if t := p.find(i); t != nil && t.run != nil {
-			continue
+	}
+	for i := 0; i < p.size() && len(list) < n; i++ {
+		if !p.isTaskDone(i) && p.find(i) == nil {
+			list = append(list, p.task(i))
 		}
-		list = append(list, p.task(i))
 	}
+	slices.SortFunc(list, func(a, b *task) int { return a.index - b.index })
 	return list
 }
 
@@ -196,7 +199,7 @@
 
 // restore applies the recorded progress of a part that is not done to its tasks.
 func (p *part) restore(recorded workflow.StepProgress) {
-	for _, i := range recorded.Done {
+	for _, i := range recorded.DoneTasks() {
 		if i >= 0 && i < p.size() {
 			p.markDone(i)
 		}
@@ -221,8 +224,10 @@
 	out := workflow.StepProgress{Occurrence: p.occurrence, Step: p.index, AllDone: p.isDone(), FailedRun: p.lastFailedRun}
 	if out.AllDone {
 		out.RunTime, out.DoneAt = p.measured.mean(), p.doneAt
-	} else if p.doneTasks > 0 {
-		out.Done = p.doneIndices()
+	} else if done := p.doneIndices(); len(done) > maxDoneList {
+		out.DoneSet = workflow.SetOf(done)
+	} else {
+		out.Done = done
 	}
 	for _, t := range p.begun {
 		if t.run != nil && t.run.state != planned {
@@ -238,5 +243,5 @@
 			out.Tasks = append(out.Tasks, workflow.TaskProgress{Index: t.index, Run: t.lastRun, Failures: p.failuresOf(t), Checkpoint: t.checkpoint})
 		}
 	}
-	return out, out.AllDone || len(out.Places) > 0 || len(out.Done) > 0 || len(out.Tasks) > 0
+	return out, out.AllDone || len(out.Places) > 0 || p.doneTasks > 0 || len(out.Tasks) > 0
 }
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -73,7 +73,12 @@
 // the same run number.
 func (c *Controller) placeUnit(snap *snapshot, s planner.Start, now clock.Millis) {
 	p := snap.unitParts[s.Unit]
-	waiting := p.waiting(len(s.Nodes))
+	// Another part of the job may have taken the room in the same plan.
+	nodes := s.Nodes[:min(len(s.Nodes), p.startable(c.room(p.job)))]
+	if len(nodes) == 0 {
+		return
+	}
+	waiting := p.waiting(len(nodes))
 	number := 1
 	if p.step.Gang {
 		for _, t := range p.begun {
@@ -83,7 +88,7 @@
 	var workerIDs []string
 	racks := make(map[string]bool)
 	slowest := math.Inf(1)
-	for i, nodeIndex := range s.Nodes {
+	for i, nodeIndex := range nodes {
 		t := waiting[i]
 		if !p.step.Gang {
 			number = t.lastRun + 1
@@ -97,7 +102,7 @@
 	}
 	u := snap.input.Units[s.Unit]
 	c.opts.Log.WithFields(logrus.Fields{
-		"job": p.job.id, "occurrence": p.occurrence, "step": p.index, "tasks": len(s.Nodes), "of": u.Count, "run": number,
+		"job": p.job.id, "occurrence": p.occurrence, "step": p.index, "tasks": len(nodes), "of": u.Count, "run": number,
 		"workers": workerIDs, "waited_ms": int64(u.Waited), "priority": u.Priority, "guaranteed": u.Guaranteed, "late": u.Late, "hopeless": u.Hopeless, "term": c.term,
 		"racks": len(racks), "gang": u.Gang, "same_rack": u.SameRack, "data_rack": u.DataRack, "slowest": math.Round(100*slowest) / 100,
 		"declared_ms": int64(p.step.Estimate), "predicted_ms": int64(u.Estimate), "accels": u.Shape.Accels, "despite": string(s.Despite), "deferred_ms": int64(p.deferredFor(now)),
@@ -113,8 +118,10 @@
 		snap.nodes = append(snap.nodes, n)
 	}
 	slices.SortFunc(snap.nodes, func(a, b *node) int { return compareText(a.id, b.id) })
+	c.longestID = 0
 	for i, n := range snap.nodes {
 		snap.nodeIndex[n] = i
+		c.longestID = max(c.longestID, len(n.id))
 		p := c.plannerNode(n, now)
 		p.Usable = p.Usable && !unreachable[n.worker.Domain] && !closed(n.worker.Domain)
 		snap.input.Nodes = append(snap.input.Nodes, p)
@@ -202,6 +209,7 @@
 
 // addJob adds the waiting tasks and the runs of a job to the input of a plan.
 func (c *Controller) addJob(snap *snapshot, j *job, guaranteed bool, now clock.Millis) {
+	room := c.room(j)
 	j.openOccurrences(now, func(occurrence int) {
 		for i := range j.record.Spec.Steps {
 			p := j.partOf(occurrence, i)
@@ -209,8 +217,8 @@
 				continue
 			}
 			c.addRunning(snap, p, guaranteed, now)
-			if j.stepReady(occurrence, i) {
-				c.addUnit(snap, p, guaranteed, now)
+			if j.stepReady(occurrence, i) && now >= j.heldBackUntil {
+				c.addUnit(snap, p, room, guaranteed, now)
 			}
 		}
 	})
@@ -240,12 +248,17 @@
 	return min(at, now)
 }
 
-func (c *Controller) addUnit(snap *snapshot, p *part, guaranteed bool, now clock.Millis) {
+// addUnit adds the waiting tasks of a part to the input of a plan, if room further tasks of its job may begin.
+func (c *Controller) addUnit(snap *snapshot, p *part, room int, guaranteed bool, now clock.Millis) {
 	waiting := p.waitingCount()
 	// A gang is added only when all its tasks wait.
 	if waiting == 0 || (p.step.Gang && waiting < p.size()) {
 		return
 	}
+	count := p.startable(room)
+	if count == 0 {
+		return
+	}
 	j := p.job
 	r := j.record
 	begin := max(r.AcceptedAt, r.Spec.EarliestStart(p.occurrence))
@@ -256,7 +269,7 @@
 	needed, late := c.neededSpeed(p, c.longestChainFrom(p), begin+objective, now)
 	u := planner.Unit{
 		Service: j.policy.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: j.policy.Priority, Guaranteed: guaranteed,
-		Shape: p.shape(), Count: waiting, Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
+		Shape: p.shape(), Count: count, Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
 		Rank: begin + objective, Waited: now - p.readySince, Estimate: c.predictRunTime(p),
 		Late:     late && !p.step.UntilCancelled,
 		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
--- a/controller/size_test.go
+++ b/controller/size_test.go
@@ -43,30 +43,38 @@
 		Entry("with all tasks of all steps", workflow.Spec{Payload: "ms=60000", Steps: manySteps(workflow.MaxSteps, workflow.MaxTasks)}),
 	)
 
-	// Guards against occurrences that are forgotten, run twice or stay open once their job has too many to keep all.
-	It("runs each of its occurrences once, also under a later leader, and records little of those that are done", func() {
-		const count = 1500
-		c, i := newClusterWithLeader(1, lease)
-		i.submit(jobID(2), workflow.Spec{Payload: "ms=1", Occurrences: count, First: 1, Steps: []workflow.Step{{Count: 1, Cores: 1}}})
-		doneBefore := func() int {
-			v, _ := i.board.Find(jobID(2))
-			return v.Progress.DoneBefore
-		}
-		Eventually(doneBefore, time.Minute).Should(BeNumerically(">", 200))
-		i.election.Resign(GinkgoT().Context())
-		next := c.startInstance(nil)
-		Eventually(func() workflow.State { return next.state(jobID(2)) }, time.Minute).Should(Equal(workflow.Completed))
-		tasks := make(map[string]int)
-		for _, s := range c.workers[0].Starts() {
-			tasks[s.Task]++
-		}
-		Expect(tasks).To(HaveLen(count + 1))
-		for task, starts := range tasks {
-			Expect(starts).To(Equal(1), task)
-		}
-		v, _ := next.board.Find(jobID(2))
-		Expect(len(workflow.Encode(v.Progress))).To(BeNumerically("<", 4096))
-	})
+	// Guards against occurrences or tasks that are forgotten or run twice once their job has too many to list all.
+	DescribeTable("runs each of its tasks once, also under a later leader, and records little of those that are done",
+		func(spec workflow.Spec) {
+			const count = 1500
+			c, i := newClusterWithLeader(1, lease)
+			i.submit(jobID(2), spec)
+			done := func() int {
+				v, _ := i.board.Find(jobID(2))
+				n := v.Progress.DoneBefore
+				for _, p := range v.Progress.Parts {
+					n += len(p.DoneTasks())
+				}
+				return n
+			}
+			Eventually(done, time.Minute).Should(BeNumerically(">", 300))
+			i.election.Resign(GinkgoT().Context())
+			next := c.startInstance(nil)
+			Eventually(func() workflow.State { return next.state(jobID(2)) }, time.Minute).Should(Equal(workflow.Completed))
+			tasks := make(map[string]int)
+			for _, s := range c.workers[0].Starts() {
+				tasks[s.Task]++
+			}
+			Expect(tasks).To(HaveLen(count + 1))
+			for task, starts := range tasks {
+				Expect(starts).To(Equal(1), task)
+			}
+			v, _ := next.board.Find(jobID(2))
+			Expect(len(workflow.Encode(v.Progress))).To(BeNumerically("<", 4096))
+		},
+		Entry("with 1500 occurrences", workflow.Spec{Payload: "ms=1", Occurrences: 1500, First: 1, Steps: []workflow.Step{{Count: 1, Cores: 1}}}),
+		Entry("with 1500 tasks", workflow.Spec{Payload: "ms=1", Steps: []workflow.Step{{Count: 1500, Cores: 1}}}),
+	)
 })
 
 // manySteps returns independent steps of tasks that no worker can run.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -232,7 +232,7 @@
 		},
 	})
 	i.intakeHandler = intake.New(intake.Options{
-		Name: s.Name, Store: store, Board: i.board, Config: i.usableConfig, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
+		Name: s.Name, Store: store, MaxValue: s.MaxValue, Board: i.board, Config: i.usableConfig, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
 		OnRetry: i.counters.Counter(controller.RetriesMetric("acceptance")).Inc, Clock: i.clock, Log: log,
 	})
 	i.kernel.Add("roster", i.roster)
@@ -252,10 +252,10 @@
 	return limit > 0 && i.configMirror.Age() > limit-revocationMargin
 }
 
-// limits returns the time limits currently in force, as the controller takes them.
+// limits returns the limits currently in force, as the controller takes them.
 func (i *Instance) limits() controller.Limits {
 	b := i.bounds.Load()
-	return controller.Limits{Lease: b.MaxLease, Stop: b.StopTime, Restore: b.RestoreTime, Retention: b.Retention, ReportInterval: b.ReportInterval}
+	return controller.Limits{Lease: b.MaxLease, Stop: b.StopTime, Restore: b.RestoreTime, Retention: b.Retention, ReportInterval: b.ReportInterval, MaxValue: i.opts.Settings.MaxValue}
 }
 
 // Reload applies changed settings. New bounds take effect at once. A change of an address needs a restart
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -126,6 +126,8 @@
 	// KeysOutdated reports whether the configuration is so old that this instance may accept an API
 	// key that was revoked longer ago than allowed; nil means never.
 	KeysOutdated func() bool
+	// MaxValue is the largest size in bytes of a value in the store; 0 means kv.MaxValue.
+	MaxValue int
 	// Reachable reports whether the store is reachable; nil means always.
 	Reachable func() bool
 	// OnRetry is called for each write that is retried because the first attempt got no
@@ -161,6 +163,9 @@
 
 // New returns a handler and starts its background work, which Stop ends.
 func New(opts Options) *Handler {
+	if opts.MaxValue == 0 {
+		opts.MaxValue = kv.MaxValue
+	}
 	if opts.Reachable == nil {
 		opts.Reachable = func() bool { return true }
 	}
@@ -254,6 +259,9 @@
 		AcceptedAt: h.opts.Clock.Now(), Token: h.token(), Spec: spec,
 	}
 	entry := kv.Entry{Key: board.RecordKey(g.ID), Value: workflow.Encode(record)}
+	if len(entry.Value) > h.opts.MaxValue {
+		return Answer{Verdict: Invalid, Reason: fmt.Sprintf("the job takes %d bytes, more than the %d that can be stored", len(entry.Value), h.opts.MaxValue)}
+	}
 	version, kind, err := h.create(ctx, entry, 0)
 	switch kind {
 	case kv.OK:
@@ -262,7 +270,7 @@
 		return Answer{Verdict: OK, Reason: "recorded"}
 	case kv.Conflict:
 		return h.answerConflict(ctx, g, spec)
-	case kv.Refused:
+	case kv.Refused, kv.Rejected:
 		return Answer{Verdict: Busy, RetryAfter: retryAfter, Reason: err.Error()}
 	default:
 		return Answer{Verdict: Unsure, RetryAfter: retryAfter, Reason: err.Error()}
@@ -343,7 +351,7 @@
 		entry.Version = version
 		h.addCancelled(ctx, g.ID, entry)
 		return Answer{Verdict: OK, Reason: "recorded"}
-	case kv.Refused:
+	case kv.Refused, kv.Rejected:
 		return Answer{Verdict: Busy, RetryAfter: retryAfter, Reason: err.Error()}
 	default:
 		return Answer{Verdict: Unsure, RetryAfter: retryAfter, Reason: err.Error()}
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -17,7 +17,7 @@
 	"fmt"
 )
 
-// MaxValue is the largest size of a value in bytes.
+// MaxValue is the largest size of a value in bytes, unless the store has a limit of its own.
 const MaxValue = 1 << 20
 
 // Kind classifies errors by what they mean for the caller.
@@ -33,6 +33,9 @@
 	Missing
 	// Refused means that the call certainly had no effect.
 	Refused
+	// Rejected means that the call had no effect, and that the store will not accept it later either, such as a
+	// value that is too large.
+	Rejected
 	// Ambiguous means that a write may or may not have taken effect.
 	Ambiguous
 	// Compacted means that the store no longer has the history from which to watch.
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -38,6 +38,9 @@
 	retryDelay  = 250 * clock.Millisecond
 	// maxBatch is the largest number of ends in one call.
 	maxBatch = 64
+	// maxBatchBytes is the size in bytes of the ends to which no further one is added. With one more of the largest
+	// size, a call is still smaller than maxMessage.
+	maxBatchBytes = maxMessage / 4
 )
 
 // Outcome is the result of an attempt to share ends.
@@ -115,19 +118,26 @@
 	}()
 }
 
-// unshared returns the first maxBatch ends that are neither shared nor recorded, and forgets the shared
-// ends that are not in the list any more.
+// unshared returns ends that are neither shared nor recorded, at most maxBatch and about maxBatchBytes, and forgets
+// the shared ends that are not in the list any more.
 func (w *Witness) unshared(ends []board.End) []board.End {
 	shared := make(map[string]bool, len(w.shared))
 	var unshared []board.End
+	bytes := 0
 	for _, e := range ends {
 		if w.shared[e.Job] {
 			shared[e.Job] = true
 			continue
 		}
-		if view, ok := w.opts.Board.Find(e.Job); ok && !view.Progress.State.Final() && len(unshared) < maxBatch {
-			unshared = append(unshared, e)
+		if view, ok := w.opts.Board.Find(e.Job); !ok || view.Progress.State.Final() || len(unshared) == maxBatch {
+			continue
+		}
+		size := len(workflow.Encode(e.Progress))
+		if len(unshared) > 0 && bytes+size > maxBatchBytes {
+			continue
 		}
+		bytes += size
+		unshared = append(unshared, e)
 	}
 	w.shared = shared
 	return unshared
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -1,6 +1,7 @@
 package witness_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -133,6 +134,27 @@
 		Consistently(other.calls.Load, 50*time.Millisecond).Should(Equal(calls))
 	})
 
+	// Guards against the ends of all jobs being left out with those of a few large jobs.
+	It("is shared beside large ones, in messages that are not too large", func() {
+		leader, other := newMember("a"), newMember("b")
+		leader.others = []roster.Instance{other.instance}
+		large := workflow.Progress{State: workflow.Failed, EndedAt: 9, Parts: []workflow.StepProgress{{DoneSet: make([]byte, 900<<10)}}}
+		var list []board.End
+		for n := range 8 {
+			job := fmt.Sprintf("%016x", n)
+			for _, m := range []*member{leader, other} {
+				m.board.Add(kv.Entry{Key: board.RecordKey(job), Version: 1, Value: workflow.Encode(workflow.Record{Queue: "q"})})
+			}
+			list = append(list, board.End{Job: job, Progress: large})
+		}
+		list = append(list, ends...)
+		for n := 0; n < len(list) && !other.holds(); n++ {
+			leader.Share(term, list)
+			Eventually(leader.outcomes, 5*time.Second).Should(Receive(Equal(witness.Held)))
+		}
+		Expect(other.holds()).To(BeTrue())
+	})
+
 	It("is not told by an instance that only holds it", func() {
 		leader, holder := newMember("a"), newMember("b")
 		leader.others = []roster.Instance{holder.instance, newMember("c").isGone().instance}
--- a/workflow/progress.go
+++ b/workflow/progress.go
@@ -1,6 +1,8 @@
 package workflow
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/chestnutsail/chestnutsail/clock"
@@ -50,9 +52,11 @@
 type StepProgress struct {
 	Occurrence int `cbor:"o,omitempty"`
 	Step       int `cbor:"s,omitempty"`
-	// AllDone means that every task is done. Otherwise Done lists the indices of the done tasks.
+	// AllDone means that every task is done. Otherwise Done lists the indices of the done tasks, or DoneSet holds them
+	// if they are many; DoneTasks returns them.
 	AllDone bool           `cbor:"a,omitempty"`
 	Done    []int          `cbor:"d,omitempty"`
+	DoneSet []byte         `cbor:"b,omitempty"`
 	Tasks   []TaskProgress `cbor:"t,omitempty"`
 	Places  []PlacedRun    `cbor:"p,omitempty"`
 	// Unanswered holds the placed runs of which a copy of the order got no answer, by the index of the task: the
@@ -69,6 +73,29 @@
 	DoneAt clock.Millis `cbor:"e,omitempty"`
 }
 
+// SetOf returns a set of indices with a bit for each.
+func SetOf(indices []int) []byte {
+	var set []byte
+	for _, i := range indices {
+		for len(set) <= i/8 {
+			set = append(set, 0)
+		}
+		set[i/8] |= 1 << (i % 8)
+	}
+	return set
+}
+
+// DoneTasks returns the indices of the done tasks, unless all are done.
+func (s *StepProgress) DoneTasks() []int {
+	list := slices.Clone(s.Done)
+	for i := range 8 * len(s.DoneSet) {
+		if s.DoneSet[i/8]&(1<<(i%8)) != 0 {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // Progress is the recorded progress of a job. Only the leader writes it.
 type Progress struct {
 	State State `cbor:"s"`
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -65,4 +65,16 @@
 		Expect(workflow.Decode(workflow.Encode(p), &out)).To(Succeed())
 		Expect(out).To(Equal(p))
 	})
+
+	DescribeTable("knows its done tasks, listed or as a set, if they are",
+		func(indices ...int) {
+			listed, set := workflow.StepProgress{Done: indices}, workflow.StepProgress{DoneSet: workflow.SetOf(indices)}
+			Expect(listed.DoneTasks()).To(Equal(indices))
+			Expect(set.DoneTasks()).To(Equal(indices))
+			Expect(len(set.DoneSet)).To(BeNumerically("<=", workflow.MaxTasks/8))
+		},
+		Entry("the first", 0),
+		Entry("some of several bytes", 0, 7, 8, 63, 64, 1000),
+		Entry("the last", workflow.MaxTasks-1),
+	)
 })
