controller: use a worker only by the entry of its present process

Cause: after the first answer of a new process the leader went on using the worker by the entry of the earlier process, with its service, labels and room, until the store removed that entry.

Change: a worker is used only if the start in its entry is the one in its last answer. That holds for plans, for orders that were placed before the restart became known, for further copies of orders, and for a leader that was elected after the restart. While the entry is the newer one, the worker is polled.

Why it works: nothing that another process has written about itself decides where a task starts. A start that differs shows another process, whatever the order in which entry and answer arrive.

--- a/controller/incarnations.go
+++ b/controller/incarnations.go
@@ -28,6 +28,13 @@
 	return entry.Address != n.worker.Address || (entry.StartedAt != n.worker.StartedAt && entry.StartedAt != n.workerStart)
 }
 
+// isDescribed reports whether the worker's entry was written by the process that answered last. The service, the
+// labels and the room of a process that started later may differ, and the entry of the earlier one stands until it
+// has been silent for some time.
+func (n *node) isDescribed() bool {
+	return n.worker.StartedAt == 0 || n.workerStart == 0 || n.worker.StartedAt == n.workerStart
+}
+
 // forgetClock discards what is known of a worker's clock, which starts again with each process. Until
 // the worker answers, it gets no work and its lease is not renewed. Its runs stay.
 func (c *Controller) forgetClock(n *node) {
@@ -39,7 +46,7 @@
 // process, since the new one may have started some already. A run that is being stopped has to be
 // stopped again, as a late order may still start it.
 func (c *Controller) onRestart(n *node, start clock.Millis) {
-	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "born": int64(start), "born_before": int64(n.workerStart)}).Warn("controller: worker has restarted")
+	c.opts.Log.WithFields(logrus.Fields{"worker": n.id, "runs": len(n.runs), "born": int64(start), "born_before": int64(n.workerStart), "born_in_entry": int64(n.worker.StartedAt)}).Warn("controller: worker has restarted")
 	n.process++
 	n.workerStart, n.handledEnd, n.ackedEnd, n.ackSent, n.unackedEnds = start, 0, 0, 0, nil
 	n.clockReadAt, n.slowUntil, n.fullDelay = 0, 0, 0
--- a/controller/nodes.go
+++ b/controller/nodes.go
@@ -229,10 +229,10 @@
 }
 
 // needsPoll reports whether the worker has to be polled: it has not answered a poll in this term,
-// it has runs or ended runs to report, ends are not acknowledged to it yet, or it failed a call and
-// gets no new work until it answers again.
+// it has runs or ended runs to report, ends are not acknowledged to it yet, or it gets no new work until it answers
+// again, since it failed a call or its entry is of another process.
 func (n *node) needsPoll() bool {
-	return n.worker.Address != "" && (!n.pollAnswered || (n.failing && n.listed) || len(n.runs) > 0 || len(n.unknownRuns) > 0 || len(n.unackedEnds) > 0 || n.ackDue() > n.ackSent)
+	return n.worker.Address != "" && (!n.pollAnswered || ((n.failing || !n.isDescribed()) && n.listed) || len(n.runs) > 0 || len(n.unknownRuns) > 0 || len(n.unackedEnds) > 0 || n.ackDue() > n.ackSent)
 }
 
 // poll asks a worker for its runs and ends, and renews its lease, unless there is no need or a
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -47,8 +47,9 @@
 }
 
 // sendDueOrder sends an order at the head of the queue. The lease is requested only now: what is known
-// of the worker may have changed while the order waited, and so may the leadership. A worker that drains
-// gets no order, not even a copy of one without an answer, nor does one in an evacuated failure domain. If the lease must not be renewed, a run that has
+// of the worker may have changed while the order waited, and so may the leadership. A worker that drains, or whose
+// entry is of another process, gets no order, not even a copy of one without an answer, nor does one in an evacuated
+// failure domain. If the lease must not be renewed, a run that has
 // not been ordered yet is removed, an order that could not be sent waits for maxRenewalSilence at most, and one
 // without an answer waits.
 func (c *Controller) sendDueOrder(r *run, order agent.Order) {
@@ -56,15 +57,7 @@
 		c.retryOrder(r, order)
 		return
 	}
-	if r.node.worker.State == agent.Draining {
-		if r.orderUnanswered() {
-			c.stopDrained(r)
-		} else {
-			c.removeUnordered(r, "its worker has begun to drain after the plan was made")
-		}
-		return
-	}
-	if c.withholdOrder(r, order) {
+	if c.dropOrder(r) || c.withholdOrder(r, order) {
 		return
 	}
 	if r.isUnsendable(c.opts.Clock.Now()) {
@@ -88,6 +81,24 @@
 	c.sendOrder(r, order)
 }
 
+// dropOrder gives up an order to a worker that drains or whose entry is of another process, and reports whether it did.
+// A run whose order got no answer is stopped, since the worker may have carried it out.
+func (c *Controller) dropOrder(r *run) bool {
+	switch drains := r.node.worker.State == agent.Draining; {
+	case drains && r.orderUnanswered():
+		c.stopDrained(r)
+	case drains:
+		c.removeUnordered(r, "its worker has begun to drain after the plan was made")
+	case r.node.isDescribed():
+		return false
+	case r.orderUnanswered():
+		c.stopWithGang(r, "its worker has started anew", "a worker of its gang has started anew")
+	default:
+		c.removeUnordered(r, "its worker has started anew after the plan was made")
+	}
+	return true
+}
+
 // isUnsendable reports whether no copy of an order could be sent for maxRenewalSilence.
 func (r *run) isUnsendable(now clock.Millis) bool {
 	return !r.orderUnanswered() && r.unsentSince != 0 && now-r.unsentSince > maxRenewalSilence
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -164,7 +164,7 @@
 func (c *Controller) plannerNode(n *node, now clock.Millis) planner.Node {
 	p := planner.Node{
 		ID: n.id, Service: n.worker.Service, Rack: n.worker.Rack, Labels: n.worker.Labels, Capacity: n.shape(), Slow: n.isSlow(now), Speed: n.expectedSpeed(), SureSpeed: n.sureSpeed(),
-		Usable:  n.listed && n.pollAnswered && n.worker.State == agent.Ready && now >= n.noWorkUntil && len(n.unknownRuns) == 0 && !n.failing,
+		Usable:  n.listed && n.pollAnswered && n.isDescribed() && n.worker.State == agent.Ready && now >= n.noWorkUntil && len(n.unknownRuns) == 0 && !n.failing,
 		Suspect: now < n.suspectUntil, Quarantined: now < n.quarantinedUntil,
 	}
 	if worth := n.warmup.Worth(now); worth < 1 {
