controller: bound the stops that are in flight

Cause: each run that a cancellation stops had a call of its own at once, with its buffers and, beyond the idle ones, a new connection.

A call counts for 150 ms at most, so workers that don't answer hold up no others.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -178,10 +178,9 @@
 	// listingHosts is set while the hosts are being listed; nextHostList is the earliest time of the next list.
 	listingHosts bool
 	nextHostList clock.Millis
-	// queuedOrders holds functions that each send one order; ordersInFlight is the number
-	// of orders that are being sent.
-	queuedOrders   []func()
-	ordersInFlight int
+	// orders and stops limit the calls that start and that stop runs.
+	orders callQueue
+	stops  callQueue
 	// firstOrderPending is set until the first order of the term is sent.
 	firstOrderPending bool
 }
@@ -193,7 +192,7 @@
 		opts.PageTimeout = storeTimeout
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Controller{opts: opts, events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel}
+	c := &Controller{opts: opts, events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel, orders: callQueue{most: maxOrdersInFlight}, stops: callQueue{most: maxStopsInFlight}}
 	c.evacuations = c.newEvacuations()
 	opts.Board.Watch(func(v board.View) { c.postAsync(func() { c.onJobChange(v) }) })
 	c.done.Go(c.run)
--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -53,6 +53,8 @@
 	// a worker has answered an order; nil delays nothing.
 	refuseRenewals bool
 	orderAnswered  chan struct{}
+	// stopsInFlight is the number of stops that have no answer yet, and mostStops the largest number so far.
+	stopsInFlight, mostStops int
 	// loseStops leaves all stops without an answer.
 	loseStops bool
 	// commitAnswerDelay delays the answers to writes, as if the instance were suspended before it
@@ -217,6 +219,11 @@
 }
 
 func (h *hooks) Stop(ctx context.Context, w agent.Worker, task agent.Task, run int, fence uint64) error {
+	h.set(func(h *hooks) {
+		h.stopsInFlight++
+		h.mostStops = max(h.mostStops, h.stopsInFlight)
+	})
+	defer h.set(func(h *hooks) { h.stopsInFlight-- })
 	if h.isMisdirected(w.ID) {
 		return agent.ErrReplaced
 	}
--- a/controller/leading.go
+++ b/controller/leading.go
@@ -39,7 +39,9 @@
 	c.opts.Log.WithField("term", c.term).Info("controller: no longer leading")
 	// Calls in flight are not cancelled. Their results are ignored because the term is over.
 	c.term, c.jobsLoaded, c.workersListed, c.flushing, c.planNeeded, c.readingNotices, c.listingHosts = 0, false, false, false, false, false, false
-	c.jobs, c.nodes, c.dirty, c.workersMirror, c.queuedOrders, c.ordersInFlight = nil, nil, nil, nil, nil, 0
+	c.jobs, c.nodes, c.dirty, c.workersMirror = nil, nil, nil, nil
+	c.orders.clear()
+	c.stops.clear()
 	c.evacuations.reset()
 	c.clearSpeedCounts()
 }
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -11,15 +9,6 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 )
 
-const (
-	// maxOrdersInFlight is the maximum number of orders that are sent at a time. More would
-	// only queue on the instance's network link and time out there.
-	maxOrdersInFlight = 24
-	// maxInFlightTime is the maximum time in milliseconds for which an order counts as in
-	// flight; workers usually answer within a few round trips.
-	maxInFlightTime = 150 * clock.Millisecond
-)
-
 // orderStart orders the worker of a run to start it. If there is no answer, the same order is
 // sent again, since a worker carries it out only once.
 func (c *Controller) orderStart(r *run) {
@@ -38,12 +27,11 @@
 
 // enqueueOrder queues an order to be sent, unless the run is no longer wanted by then.
 func (c *Controller) enqueueOrder(r *run, order agent.Order) {
-	c.queuedOrders = append(c.queuedOrders, func() {
+	c.orders.add(func() {
 		if r.task.run == r && r.state == ordered {
 			c.sendDueOrder(r, order)
 		}
 	})
-	c.sendQueuedOrders()
 }
 
 // sendDueOrder sends an order at the head of the queue. The lease is requested only now: what is known
@@ -115,40 +103,17 @@
 	c.removeRun(r, agent.Stopped, notOrdered, "")
 }
 
-// sendQueuedOrders sends queued orders while fewer than maxOrdersInFlight are in flight.
-func (c *Controller) sendQueuedOrders() {
-	for len(c.queuedOrders) > 0 && c.ordersInFlight < maxOrdersInFlight {
-		next := c.queuedOrders[0]
-		c.queuedOrders = c.queuedOrders[1:]
-		next()
-	}
-}
-
-// sendOrder sends an order. The order counts as in flight until it is answered, or for
-// maxInFlightTime at most: otherwise orders to unreachable workers would delay all others.
+// sendOrder sends an order.
 func (c *Controller) sendOrder(r *run, order agent.Order) {
 	term, worker := c.term, r.node.worker
 	r.noteCopy()
-	c.ordersInFlight++
+	end := c.begin(&c.orders)
 	c.opts.Counters.Counter("chestnutsail_orders_total").Inc()
-	var once sync.Once
-	release := func() {
-		once.Do(func() {
-			c.post(func() {
-				c.runInTerm(term, func() {
-					c.ordersInFlight--
-					c.sendQueuedOrders()
-				})
-			})
-		})
-	}
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout.Duration())
 		defer cancel()
-		releaseTimer := time.AfterFunc(maxInFlightTime.Duration(), release)
-		defer releaseTimer.Stop()
 		verdict, workerClock, err := c.opts.Workers.Start(ctx, worker, order)
-		release()
+		end()
 		c.post(func() { c.runInTerm(term, func() { c.onOrderAnswer(r, order, verdict, workerClock, err) }) })
 	}()
 }
--- a/controller/runs.go
+++ b/controller/runs.go
@@ -251,6 +251,14 @@
 // is not known, and while the lease on the leadership may have ended, because a successor may have
 // taken the run over.
 func (c *Controller) sendStop(n *node, key runKey, needed func() bool, onConfirmed func()) {
+	c.stops.add(func() {
+		if needed() {
+			c.sendDueStop(n, key, needed, onConfirmed)
+		}
+	})
+}
+
+func (c *Controller) sendDueStop(n *node, key runKey, needed func() bool, onConfirmed func()) {
 	term, worker := c.term, n.worker
 	if worker.Address == "" || !c.leadershipConfirmed() {
 		c.afterRetryDelay(func() {
@@ -260,10 +268,12 @@
 		})
 		return
 	}
+	end := c.begin(&c.stops)
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout.Duration())
 		defer cancel()
 		err := c.opts.Workers.Stop(ctx, worker, key.task, key.run, term)
+		end()
 		if err != nil {
 			clock.Sleep(c.ctx, retryDelay)
 		}
--- a/controller/size_test.go
+++ b/controller/size_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/intake"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -43,6 +44,20 @@
 		Entry("with all tasks of all steps", workflow.Spec{Payload: "ms=60000", Steps: manySteps(workflow.MaxSteps, workflow.MaxTasks)}),
 	)
 
+	// Guards against one call, with its buffers and its connection, for each run that a cancellation stops.
+	It("is stopped by a bounded number of calls at a time when it is cancelled", func() {
+		const tasks = 800
+		c, i := newClusterWithLeader(2, lease)
+		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{{Count: tasks, Cores: 1}}})
+		running := func() int { return c.workers[0].Running() + c.workers[1].Running() }
+		Eventually(running, 20*time.Second).Should(Equal(tasks))
+		grant, refusal := i.handler.Admit(intake.Call{Host: "h", Path: "/b/" + jobID(2)})
+		Expect(refusal).To(BeNil())
+		Expect(i.handler.Cancel(GinkgoT().Context(), grant).Verdict).To(Equal(intake.OK))
+		Eventually(running, 10*time.Second).Should(BeZero())
+		i.set(func(h *hooks) { Expect(h.mostStops).To(BeNumerically("<=", tasks/4)) })
+	})
+
 	// Guards against occurrences or tasks that are forgotten or run twice once their job has too many to list all.
 	DescribeTable("runs each of its tasks once, also under a later leader, and records little of those that are done",
 		func(spec workflow.Spec) {
