stored, intake: bound what the stored jobs of an account take

Cause: each instance keeps the records of all jobs, and nothing bounded what an account stores.

Change: the board counts the memory of the jobs of each account, and package stored decides whether another one may be stored: an equal share always, up to half of all while the others leave it free. A submission beyond it is answered 429 with a Retry-After, after a look whether the job is stored already; nothing is written, so the answer is true.

Why it works: what an instance reads at a start is bounded by what was accepted.

--- a/board/board.go
+++ b/board/board.go
@@ -16,6 +16,7 @@
 
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/kv"
+	"github.com/chestnutsail/chestnutsail/stored"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -97,6 +98,10 @@
 	// Confirmed is the final state that another instance has read from the store, if this instance has
 	// not read it yet; "" otherwise.
 	Confirmed workflow.State
+	// recordSize and progressSize are the encoded sizes of the record and the progress, bytes is the memory that the
+	// job is counted with.
+	recordSize, progressSize int
+	bytes                    int64
 }
 
 // State returns the state of the job as reported to callers. A recorded final state takes precedence
@@ -132,6 +137,8 @@
 	// withdrawn holds the owners in the keys of withdrawals, by the ID of the job and by key.
 	withdrawn  map[string]map[string]workflow.Owner
 	leaderTerm uint64
+	// usage is the memory that the jobs take, by account.
+	usage *stored.Usage
 	// leader is the value of the leader's key; "" if there is none. progressCount is the number of
 	// changes of progress that were seen, which only leaders write.
 	leader        string
@@ -148,7 +155,7 @@
 	if onDecodeError == nil {
 		onDecodeError = func(string, error) {}
 	}
-	return &Board{jobs: make(map[string]*View), held: make(map[string]workflow.Progress), withdrawn: make(map[string]map[string]workflow.Owner), onDecodeError: onDecodeError}
+	return &Board{jobs: make(map[string]*View), held: make(map[string]workflow.Progress), withdrawn: make(map[string]map[string]workflow.Owner), usage: stored.NewUsage(), onDecodeError: onDecodeError}
 }
 
 // Watch registers f to be called with the view of a job when its record or its cancellation is
@@ -164,7 +171,7 @@
 func (b *Board) Replace(entries []kv.Entry) (hasLeader bool) {
 	b.mu.Lock()
 	previousJobs := b.jobs
-	b.jobs, b.leader = make(map[string]*View, len(entries)/2), ""
+	b.jobs, b.leader, b.usage = make(map[string]*View, len(entries)/2), "", stored.NewUsage()
 	clear(b.withdrawn)
 	var updates []View
 	for _, e := range entries {
@@ -179,7 +186,8 @@
 		previous := previousJobs[id]
 		if previous != nil && previous.Version > v.Version {
 			// The list was begun before this progress was written or read.
-			v.Progress, v.Version = previous.Progress, previous.Version
+			v.Progress, v.Version, v.progressSize = previous.Progress, previous.Version, previous.progressSize
+			b.measure(v)
 		}
 		if v.isSameJob(previous) {
 			// The list may have been begun before the cancellation was recorded.
@@ -262,7 +270,8 @@
 			return nil
 		}
 		r.ID = id
-		v.Record = r
+		v.Record, v.recordSize = r, len(e.Value)
+		b.measure(v)
 		v.Cancelled = v.Cancelled || b.isWithdrawn(v)
 		return v
 	case progressKind:
@@ -277,7 +286,8 @@
 		if e.Version > v.Version {
 			b.progressCount++
 		}
-		v.Progress, v.Version = p, e.Version
+		v.Progress, v.Version, v.progressSize = p, e.Version, len(e.Value)
+		b.measure(v)
 		if p.State.Final() {
 			v.Confirmed = ""
 			delete(b.held, id)
@@ -296,6 +306,7 @@
 	switch {
 	case !ok:
 	case kind == recordKind:
+		b.unmeasure(b.jobs[id])
 		delete(b.jobs, id)
 		delete(b.held, id)
 	case isWithdrawal(kind):
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -317,8 +317,9 @@
 		c.trackJob(v)
 	}
 	c.jobsLoaded = true
+	_, storedBytes := c.opts.Board.Stored("")
 	c.opts.Log.WithFields(logrus.Fields{
-		"term": c.term, "jobs": len(c.jobs), "took_ms": int64(c.opts.Clock.Now() - c.leadingSince),
+		"term": c.term, "jobs": len(c.jobs), "stored_bytes": storedBytes, "took_ms": int64(c.opts.Clock.Now() - c.leadingSince),
 	}).Info("controller: jobs loaded")
 	c.reconcile()
 	c.planNeeded = true
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,6 +24,7 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/site"
+	"github.com/chestnutsail/chestnutsail/stored"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -59,11 +60,13 @@
 	IDTaken Verdict = "clash"
 	// Invalid means that the request is malformed.
 	Invalid Verdict = "invalid"
+	// Full means that the account has stored too many jobs, or too large ones; nothing was done.
+	Full Verdict = "full"
 )
 
 // Verdicts returns all verdicts.
 func Verdicts() []Verdict {
-	return []Verdict{OK, NotReady, Busy, Unsure, NoQueue, NoKey, NoJob, IDTaken, Invalid}
+	return []Verdict{OK, NotReady, Busy, Unsure, NoQueue, NoKey, NoJob, IDTaken, Invalid, Full}
 }
 
 // Call is a caller's request before it is matched to a queue.
@@ -128,6 +131,8 @@
 	KeysOutdated func() bool
 	// MaxValue is the largest size in bytes of a value in the store; 0 means kv.MaxValue.
 	MaxValue int
+	// Stored limits the memory of the accounts' stored jobs.
+	Stored stored.Limit
 	// Reachable reports whether the store is reachable; nil means always.
 	Reachable func() bool
 	// OnRetry is called for each write that is retried because the first attempt got no
@@ -149,6 +154,9 @@
 	// processNonce is a random number that makes the values of token unique to this process.
 	processNonce uint64
 	tokenCount   atomic.Uint64
+	// reserved is the memory of the jobs that are being stored, by account. reservedLock guards it.
+	reservedLock sync.Mutex
+	reserved     *stored.Usage
 	// noticeLease is the ID of the store's lease under which notices are written; 0 while there
 	// is none.
 	noticeLease atomic.Uint64
@@ -182,7 +190,7 @@
 		opts.SinceChange = func() clock.Millis { return 0 }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Handler{opts: opts, processNonce: rand.Uint64(), cancel: cancel}
+	h := &Handler{opts: opts, processNonce: rand.Uint64(), cancel: cancel, reserved: stored.NewUsage()}
 	h.running.Go(func() { h.keepNoticeLease(ctx) })
 	return h
 }
@@ -262,6 +270,11 @@
 	if len(entry.Value) > h.opts.MaxValue {
 		return Answer{Verdict: Invalid, Reason: fmt.Sprintf("the job takes %d bytes, more than the %d that can be stored", len(entry.Value), h.opts.MaxValue)}
 	}
+	release, ok := h.reserve(&record, len(entry.Value))
+	if !ok {
+		return h.refuseFull(ctx, g, spec)
+	}
+	defer release()
 	version, kind, err := h.create(ctx, entry, 0)
 	switch kind {
 	case kv.OK:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -198,7 +198,10 @@
 		return r.failed(peer, err)
 	}
 	switch resp.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+	case http.StatusTooManyRequests:
+		// This is about the call's account. The instance may carry out the calls of others.
+		return Answer{Outcome: NotRun}
+	case http.StatusServiceUnavailable:
 		r.rest(peer, busyRest)
 		return Answer{Outcome: NotRun}
 	case http.StatusGatewayTimeout:
--- /dev/null
+++ b/stored/stored_test.go
@@ -0,0 +1,49 @@
+package stored_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/stored"
+	"github.com/chestnutsail/chestnutsail/suite"
+)
+
+func TestStored(t *testing.T) { suite.Run(t, "stored") }
+
+var _ = Describe("the memory of stored jobs", func() {
+	DescribeTable("lets an account store a job of 10 bytes, of 1000 for 10 accounts, if",
+		func(own, others int64, want bool) {
+			Expect(stored.Limit{Bytes: 1000}.Allows(own, own+others, 10, 10)).To(Equal(want))
+		},
+		Entry("nothing is stored", int64(0), int64(0), true),
+		Entry("it has its equal share with it and the others use all", int64(90), int64(1000), true),
+		Entry("it has more than its equal share and the others leave room", int64(91), int64(899), true),
+		Entry("it has more than its equal share and the others leave too little", int64(91), int64(900), false),
+		Entry("it has half of all with it", int64(490), int64(0), true),
+		Entry("it has more than half of all with it", int64(491), int64(0), false),
+	)
+
+	It("is not limited without a limit", func() {
+		Expect(stored.Limit{}.Allows(1<<40, 1<<40, 1, 1)).To(BeTrue())
+	})
+
+	It("is that of the jobs that are left", func() {
+		usage := stored.NewUsage()
+		job := stored.JobBytes(stored.Job{Record: 500, Progress: 100, Parts: 3})
+		usage.Add("a", job)
+		usage.Add("b", job)
+		usage.Add("a", -job)
+		Expect(usage.Of("a")).To(BeZero())
+		Expect(usage.Of("b")).To(Equal(job))
+		Expect(usage.Total()).To(Equal(job))
+	})
+
+	It("grows with what a job stores, but not with parts that no leader has", func() {
+		small := stored.JobBytes(stored.Job{Record: 500, Parts: 1})
+		Expect(stored.JobBytes(stored.Job{Record: 1500, Parts: 1})).To(BeNumerically(">=", small+1000))
+		Expect(stored.JobBytes(stored.Job{Record: 500, Progress: 1000, Parts: 1})).To(BeNumerically(">", small+1000))
+		Expect(stored.JobBytes(stored.Job{Record: 500, Parts: 640000})).To(Equal(stored.JobBytes(stored.Job{Record: 500, Parts: 640})))
+	})
+})
