--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -174,8 +174,10 @@
 }
 
 // errAnswerLost is the error of a call whose answer is lost.
-var errAnswerLost = errors.New("answer lost")
-var errRejected = errors.New("the value is not accepted")
+var (
+	errAnswerLost = errors.New("answer lost")
+	errRejected   = errors.New("the value is not accepted")
+)
 
 // refuseRenewalsAfterOrder makes all polls fail, but none before a worker has answered the next order:
 // a worker that has refused a poll gets no order.
--- a/controller/occurrences.go
+++ b/controller/occurrences.go
@@ -78,8 +78,7 @@
 	return j.record.Spec.OccurrenceCount()*len(j.record.Spec.Steps) > maxOpenParts
 }
 
-// openOccurrences calls f for the occurrences that may run now, in their order: those that are due, have not all their
-// tasks done and are open.
+// openOccurrences calls f for the occurrences that may run now, in their order: those that are due and open.
 func (j *job) openOccurrences(now clock.Millis, f func(occurrence int)) {
 	end, offers := j.record.Spec.OccurrenceCount(), j.record.Spec.OccurrenceCount()
 	if j.hasManyParts() {
