controller: share no memory of a job with those who hold its end

Found by reading, not seen. The progress of an ended job is handed to a goroutine that sends it to other instances. The progress holds copies.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -138,13 +139,15 @@
 	c.planNeeded = true
 }
 
-// encode returns the progress of a job as it is recorded in the store.
+// encode returns the progress of a job as it is recorded in the store. It shares no memory with the job, since others
+// may read it later.
 func (j *job) encode() workflow.Progress {
 	p := workflow.Progress{State: j.state, EndedAt: j.endedAt}
 	if j.policyChanged {
-		p.Policy = &j.policy
+		policy := j.policy
+		p.Policy = &policy
 	}
-	p.DoneBefore, p.RunTimes = j.doneBefore, j.doneRunTimes
+	p.DoneBefore, p.RunTimes = j.doneBefore, slices.Clone(j.doneRunTimes)
 	for _, x := range j.allParts() {
 		if stepProgress, used := x.encode(); used {
 			p.Parts = append(p.Parts, stepProgress)
--- a/controller/parts.go
+++ b/controller/parts.go
@@ -205,7 +205,7 @@
 	case out.AllDone:
 		out.RunTime, out.DoneAt = p.measured.mean(), p.doneAt
 	case p.doneTasks > maxDoneList:
-		out.DoneSet = p.done
+		out.DoneSet = slices.Clone(p.done)
 	default:
 		out.Done = p.done.Indices()
 	}
