stored: count all parts of a job that a leader may have

Found by reading: a job counted with 128 parts at most, while a leader has structures for up to 1,024 parts of a job that is due, so an account within its limit could take several times as much of the leader's memory.

The largest number of open parts is workflow.MaxOpenParts now, which the controller and the count share. The spec failed with 128 and passes.

--- a/stored/stored.go
+++ b/stored/stored.go
@@ -5,17 +5,17 @@
 // # Usage
 //
 //	usage := stored.NewUsage()
-//	usage.Add("kulhar", stored.JobBytes(stored.Job{Record: 500, Parts: 1}))
-//	ok := stored.Limit{Bytes: 32 << 20}.Allows(usage.Of("kulhar"), usage.Total(), len(accounts), bytes)
+//	usage.Add(account, stored.JobBytes(stored.Job{Record: len(record), Parts: spec.Parts()}))
+//	ok := limit.Allows(usage.Of(account), usage.Total(), len(accounts), bytes)
 package stored
 
+import "github.com/chestnutsail/chestnutsail/workflow"
+
 const (
 	// jobBytes is the memory in bytes of a job apart from its record and its parts.
 	jobBytes = 1536
 	// partBytes is the memory in bytes of a part at the leader.
 	partBytes = 300
-	// maxParts is the largest number of parts of a job that has not begun for which a leader has structures.
-	maxParts = 128
 	// progressFactor is the memory of decoded progress relative to its encoded size.
 	progressFactor = 2
 	// accountFraction is the fraction of the limit that one account may use while the others leave it free.
@@ -28,7 +28,7 @@
 
 // JobBytes returns about how much memory in bytes a job takes of an instance.
 func JobBytes(j Job) int64 {
-	return jobBytes + int64(j.Record) + progressFactor*int64(j.Progress) + partBytes*int64(min(j.Parts, maxParts))
+	return jobBytes + int64(j.Record) + progressFactor*int64(j.Progress) + partBytes*int64(min(j.Parts, workflow.MaxOpenParts))
 }
 
 // Usage is the memory of the stored jobs by account. It is not safe for concurrent use.
--- a/stored/stored_test.go
+++ b/stored/stored_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutsail/chestnutsail/stored"
 	"github.com/chestnutsail/chestnutsail/suite"
+	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
 func TestStored(t *testing.T) { suite.Run(t, "stored") }
@@ -40,10 +41,13 @@
 		Expect(usage.Total()).To(Equal(job))
 	})
 
-	It("grows with what a job stores, but not with parts that no leader has", func() {
+	// Guards against jobs that take far more memory of a leader than they are counted with.
+	It("grows with what a job stores and with the parts that a leader has of it, but not with others", func() {
 		small := stored.JobBytes(stored.Job{Record: 500, Parts: 1})
 		Expect(stored.JobBytes(stored.Job{Record: 1500, Parts: 1})).To(BeNumerically(">=", small+1000))
 		Expect(stored.JobBytes(stored.Job{Record: 500, Progress: 1000, Parts: 1})).To(BeNumerically(">", small+1000))
-		Expect(stored.JobBytes(stored.Job{Record: 500, Parts: 640000})).To(Equal(stored.JobBytes(stored.Job{Record: 500, Parts: 640})))
+		all := stored.JobBytes(stored.Job{Record: 500, Parts: workflow.MaxOpenParts})
+		Expect(all).To(BeNumerically(">", small+250*(workflow.MaxOpenParts-1)))
+		Expect(stored.JobBytes(stored.Job{Record: 500, Parts: 640000})).To(Equal(all))
 	})
 })
