stored, roster: derive the memory of stored jobs from the smallest instance

Found by reading: each instance keeps the jobs that the others accept, and the limit was a sixth of the accepting instance's memory with a fixed cap of 24 MB, a figure taken from one installation. Smaller instances than that would still run out of memory, and larger ones were limited without a reason.

Instances register their memory limit beside their strength, and the smallest known one counts. Earlier versions read such a key as an address alone.

Specs: stored.LimitOf, and keys with, without and with an unreadable memory.

--- a/fleet/clientbounds.go
+++ b/fleet/clientbounds.go
@@ -4,6 +4,7 @@
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/inflight"
 	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/roster"
 	"github.com/chestnutsail/chestnutsail/stored"
 )
 
@@ -17,12 +18,6 @@
 	// of the bodies of their requests.
 	clientMemory = 0.25
 	bodiesMemory = 0.125
-	// storedMemory is the share of the process's memory for the stored jobs of all accounts. Decoding them at a start
-	// and garbage take as much again.
-	storedMemory = 1.0 / 6
-	// maxStored is the largest such memory in bytes: each instance keeps the jobs that the others accept, and the
-	// smallest machine of an installation may have 144 MB.
-	maxStored = 24 << 20
 	// connMemory is the memory in bytes of one connection: buffers, stacks, a head of maxHeadLines and
 	// freeBody.
 	connMemory = 96 << 10
@@ -75,7 +70,11 @@
 	i.counters.Counter(`chestnutsail_clients_refused_total{reason="` + reason + `"}`).Inc()
 }
 
-// storedLimit returns the limit on the memory of the accounts' stored jobs. There is none without a memory limit.
-func storedLimit(s platform.Settings) stored.Limit {
-	return stored.Limit{Bytes: int64(min(storedMemory*float64(s.MemoryLimit), maxStored))}
+// storedLimit returns the limit on the memory of the accounts' stored jobs, which every instance keeps.
+func storedLimit(s platform.Settings, others []roster.Instance) stored.Limit {
+	memories := []int64{s.MemoryLimit}
+	for _, o := range others {
+		memories = append(memories, int64(o.Memory)<<20)
+	}
+	return stored.LimitOf(memories...)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -196,7 +196,7 @@
 	i.followOperator(store)
 	i.kernel.Add("config", i.configMirror)
 	var jobController *controller.Controller
-	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Domain: s.Domain, Strength: strength(s), Address: i.peerAddress(), Clock: i.clock, Log: log})
+	i.roster = roster.New(roster.Options{Store: store, Prefix: instancesPrefix, Name: s.Name, Domain: s.Domain, Strength: strength(s), Memory: int(s.MemoryLimit >> 20), Address: i.peerAddress(), Clock: i.clock, Log: log})
 	i.election = election.New(election.Options{
 		Store: store, Key: board.LeaderKey, Name: s.Name, Delay: i.candidacyDelay, Clock: i.clock, Log: log,
 		OnElected: func(term uint64) { jobController.StartLeading(term) }, OnLost: func() { jobController.StopLeading() },
@@ -233,7 +233,7 @@
 		},
 	})
 	i.intakeHandler = intake.New(intake.Options{
-		Name: s.Name, Store: store, MaxValue: s.MaxValue, Stored: func() stored.Limit { return storedLimit(s) }, Board: i.board, Config: i.usableConfig, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
+		Name: s.Name, Store: store, MaxValue: s.MaxValue, Stored: func() stored.Limit { return storedLimit(s, i.roster.Others()) }, Board: i.board, Config: i.usableConfig, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
 		OnRetry: i.counters.Counter(controller.RetriesMetric("acceptance")).Inc, Clock: i.clock, Log: log,
 	})
 	i.kernel.Add("roster", i.roster)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -49,23 +49,26 @@
 	// Prefix is the prefix of the instances' keys.
 	Prefix string
 	// Name is the unique name of this instance, and Address the address that it registers; ""
-	// registers nothing. Domain is its failure domain, and Strength tells from 0 to 100 how well
-	// it is suited to lead.
+	// registers nothing. Domain is its failure domain, Strength tells from 0 to 100 how well
+	// it is suited to lead, and Memory is its memory limit in megabytes; 0 means none.
 	Name     string
 	Address  string
 	Domain   string
 	Strength int
+	Memory   int
 	Clock    *clock.Clock
 	Log      *logrus.Entry
 }
 
 // Instance is a registered instance. Domain is its failure domain; "" if it did not register one.
-// Strength tells from 0 to 100 how well it is suited to lead.
+// Strength tells from 0 to 100 how well it is suited to lead, and Memory is its memory limit in megabytes; 0 if it has
+// none or did not register it.
 type Instance struct {
 	Name     string
 	Address  string
 	Domain   string
 	Strength int
+	Memory   int
 }
 
 // Roster registers one instance and knows the others. It is safe for concurrent use.
@@ -134,21 +137,27 @@
 	}
 }
 
-// parsePath returns what a key after the prefix tells: the failure domain, the name and the strength
-// of the instance, followed by its lease. Keys of earlier versions have only the name and the lease.
+// parsePath returns what a key after the prefix tells: the failure domain, the name, the strength and the memory of the
+// instance, followed by its lease. Keys of earlier versions have no memory, or only the name and the lease.
 func parsePath(path string) Instance {
 	parts := strings.Split(path, "/")
-	switch len(parts) {
-	case 4:
-		strength, err := strconv.Atoi(parts[2])
-		if err != nil {
+	if len(parts) == 2 {
+		return Instance{Name: parts[0]}
+	}
+	if len(parts) < 4 || len(parts) > 5 {
+		return Instance{}
+	}
+	i := Instance{Domain: parts[0], Name: parts[1]}
+	var err error
+	if i.Strength, err = strconv.Atoi(parts[2]); err != nil {
+		return Instance{}
+	}
+	if len(parts) == 5 {
+		if i.Memory, err = strconv.Atoi(parts[3]); err != nil {
 			return Instance{}
 		}
-		return Instance{Domain: parts[0], Name: parts[1], Strength: strength}
-	case 2:
-		return Instance{Name: parts[0]}
 	}
-	return Instance{}
+	return i
 }
 
 // Others returns the other instances, sorted by address.
@@ -233,7 +242,7 @@
 	}
 	// The lease makes the key unique: the key of an earlier process of the same name may remain
 	// until its lease expires.
-	key := fmt.Sprintf("%s%s/%s/%d/%d", r.opts.Prefix, r.opts.Domain, r.opts.Name, r.opts.Strength, lease)
+	key := fmt.Sprintf("%s%s/%s/%d/%d/%d", r.opts.Prefix, r.opts.Domain, r.opts.Name, r.opts.Strength, r.opts.Memory, lease)
 	_, err = r.opts.Store.Commit(ctx, []kv.Op{{Key: key, Value: []byte(r.opts.Address), Lease: lease}})
 	if err != nil {
 		// The write may have taken effect, or may do so while the lease lasts.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -33,7 +33,7 @@
 	log.SetOutput(GinkgoWriter)
 	entry := log.WithField("instance", name)
 	client := platform.NewStore(platform.StoreOptions{Address: store.Address()})
-	m := &member{Roster: roster.New(roster.Options{Store: client, Prefix: prefix, Name: name, Address: address, Domain: "a", Strength: 40, Clock: clock.New(), Log: entry})}
+	m := &member{Roster: roster.New(roster.Options{Store: client, Prefix: prefix, Name: name, Address: address, Domain: "a", Strength: 40, Memory: 144, Clock: clock.New(), Log: entry})}
 	m.mirror = mirror.New(mirror.Options{Store: client, Prefix: "cs/", Replace: m.Replace, Apply: m.Apply, Clock: clock.New(), Log: entry})
 	DeferCleanup(func(ctx context.Context) {
 		_ = m.Stop(ctx)
@@ -61,13 +61,19 @@
 		Eventually(a.Peers, 3*time.Second).Should(BeEmpty())
 	})
 
-	It("tells the failure domain and the strength of instances, and of those that registered neither", func() {
+	It("tells the failure domain, the strength and the memory of instances, and of those that registered less", func() {
 		a := join(store, "a", "10.0.0.1:7000")
 		join(store, "b", "10.0.0.2:7000")
 		store.Put(prefix+"old/17", []byte("10.0.0.3:7000"))
 		store.Put(prefix+"x/y/z", []byte("10.0.0.4:7000"))
+		store.Put(prefix+"a/c/40/18", []byte("10.0.0.5:7000"))
+		store.Put(prefix+"a/c/40/many/18", []byte("10.0.0.6:7000"))
 		Eventually(a.Others, 3*time.Second).Should(Equal([]roster.Instance{
-			{Name: "b", Address: "10.0.0.2:7000", Domain: "a", Strength: 40}, {Name: "old", Address: "10.0.0.3:7000"}, {Address: "10.0.0.4:7000"},
+			{Name: "b", Address: "10.0.0.2:7000", Domain: "a", Strength: 40, Memory: 144},
+			{Name: "old", Address: "10.0.0.3:7000"},
+			{Address: "10.0.0.4:7000"},
+			{Name: "c", Address: "10.0.0.5:7000", Domain: "a", Strength: 40},
+			{Address: "10.0.0.6:7000"},
 		}))
 	})
 
--- a/stored/stored.go
+++ b/stored/stored.go
@@ -18,6 +18,9 @@
 	partBytes = 300
 	// progressFactor is the memory of decoded progress relative to its encoded size.
 	progressFactor = 2
+	// memoryFraction is the fraction of an instance's memory that stored jobs may take. Decoding them at a start and
+	// garbage take as much again.
+	memoryFraction = 1.0 / 6
 	// accountFraction is the fraction of the limit that one account may use while the others leave it free.
 	accountFraction = 0.5
 )
@@ -58,6 +61,18 @@
 // Limit is the memory in bytes for the stored jobs of all accounts; 0 means that it is not limited.
 type Limit struct{ Bytes int64 }
 
+// LimitOf returns the limit for instances with the given memory limits in bytes. The smallest one counts, since each
+// instance keeps the jobs that the others accept; 0 stands for none.
+func LimitOf(memories ...int64) Limit {
+	var smallest int64
+	for _, m := range memories {
+		if m > 0 && (smallest == 0 || m < smallest) {
+			smallest = m
+		}
+	}
+	return Limit{Bytes: int64(memoryFraction * float64(smallest))}
+}
+
 // Allows reports whether one of a number of accounts may store a job of the given memory, if its stored jobs take own
 // bytes and those of all accounts take total bytes. An equal share is always its own. Beyond that it may use half of what
 // there is, as long as the others leave that free.
--- a/stored/stored_test.go
+++ b/stored/stored_test.go
@@ -26,6 +26,14 @@
 		Entry("it has more than half of all with it", int64(491), int64(0), false),
 	)
 
+	DescribeTable("is limited by the smallest instance, which keeps what the others accept, with memories of",
+		func(want int64, memories ...int64) { Expect(stored.LimitOf(memories...).Bytes).To(Equal(want)) },
+		Entry("one", int64(100), int64(600)),
+		Entry("several", int64(50), int64(600), int64(300), int64(900)),
+		Entry("some that are not limited", int64(100), int64(0), int64(600)),
+		Entry("none that is limited", int64(0), int64(0)),
+	)
+
 	It("is not limited without a limit", func() {
 		Expect(stored.Limit{}.Allows(1<<40, 1<<40, 1, 1)).To(BeTrue())
 	})
