--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -33,6 +33,7 @@
 	isGone       behaviour = "is gone"
 	knowsOlder   behaviour = "knows an older configuration"
 	refusesNoKey behaviour = "answers 401"
+	refusesFull  behaviour = "answers 429"
 )
 
 // peer is another instance. ran counts the calls that it carried out, asked all calls.
@@ -64,6 +65,8 @@
 			http.Error(w, "busy", http.StatusServiceUnavailable)
 		case isUnsure:
 			http.Error(w, "unsure", http.StatusGatewayTimeout)
+		case refusesFull:
+			http.Error(w, "the account has no room", http.StatusTooManyRequests)
 		case refusesNoKey:
 			http.Error(w, "unknown key", http.StatusUnauthorized)
 		case staysSilent:
@@ -185,11 +188,20 @@
 		Eventually(func() int64 { h.send(); return h.asked() }).Should(BeNumerically(">", asked), "they are asked again")
 	})
 
+	// Guards against an account without room that keeps the calls of others from being handed on.
+	It("does not rest the peers that refuse it because of its account", func() {
+		h := newRelay(refusesFull, refusesFull)
+		for n := range 3 {
+			Expect(h.send().Outcome).To(Equal(relay.NotRun))
+			Expect(h.asked()).To(BeEquivalentTo(2 * (n + 1)))
+		}
+	})
+
 	// Guards against a refusal of a call that a peer has carried out without an answer, whether it
 	// says "not run" or comes from a peer that would not have carried the call out.
 	It("is never refused if a peer has carried it out", func() {
 		random := rand.New(rand.NewPCG(1, 1))
-		all := []behaviour{carriesOut, refuses, isUnsure, losesAnswer, isGone, knowsOlder, refusesNoKey}
+		all := []behaviour{carriesOut, refuses, isUnsure, losesAnswer, isGone, knowsOlder, refusesNoKey, refusesFull}
 		for range 60 {
 			var behaviours []behaviour
 			for range 1 + random.IntN(4) {
