controller: delete the keys of a job in transactions that the store accepts

Deleting a key takes two entries of a transaction, which holds 32, so a job with more than 16 keys (its ID was withdrawn often) was never deleted, and its leader did not try again.

The keys are deleted 16 at a time, that of the record last. The spec timed out before and passes.

--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -43,6 +43,8 @@
 	evacuable bool
 	// maxValue is the largest size in bytes of a value in the store; 0 means that of the stand-in.
 	maxValue int
+	// retention is how long the state of a finished job is kept; 0 keeps it forever.
+	retention clock.Millis
 	// config is the configuration of all instances.
 	config atomic.Pointer[site.Config]
 }
@@ -165,7 +167,7 @@
 		Store: i.hooks, Workers: i.hooks, Hosts: hosts, Board: i.board, Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
 		Term: i.term, LeaderTTL: c.leaderTTL, SinceStoreChange: func() clock.Millis { return i.jobsMirror.SinceChange() }, Config: c.config.Load,
 		Limits: func() controller.Limits {
-			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, ReportInterval: c.reportInterval, MaxValue: c.maxValue}
+			return controller.Limits{Lease: c.lease, Stop: 50 * clock.Millisecond, ReportInterval: c.reportInterval, MaxValue: c.maxValue, Retention: c.retention}
 		},
 		Clock: clk, Counters: i.counters, Log: entry,
 	})
--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -220,7 +220,8 @@
 	}
 }
 
-// deleteJobKeys deletes all keys of a job from the store, in one transaction.
+// deleteJobKeys deletes all keys of a job from the store. A transaction holds the usual ones; withdrawals may need
+// more, which come before that of the record, so that what is left after an error is still a job's.
 func (c *Controller) deleteJobKeys(id string) {
 	ctx, cancel := context.WithTimeout(c.ctx, storeTimeout.Duration())
 	defer cancel()
@@ -230,8 +231,12 @@
 		for i, e := range entries {
 			ops[i] = kv.Op{Key: e.Key, Version: e.Version, Delete: true}
 		}
-		if len(ops) > 0 {
-			_, err = c.opts.Store.Commit(ctx, ops)
+		// In the order of the keys the record comes first and withdrawals last.
+		slices.Reverse(ops)
+		for chunk := range slices.Chunk(ops, maxBatchEntries/2) {
+			if _, err = c.opts.Store.Commit(ctx, chunk); err != nil {
+				break
+			}
 		}
 	}
 	if err != nil {
--- a/controller/recordsize_test.go
+++ b/controller/recordsize_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -8,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/chestnutsail/chestnutsail/board"
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
@@ -73,6 +76,24 @@
 		Eventually(func() workflow.State { return i.state(jobID(9)) }, shortTimeout).Should(Equal(workflow.Completed))
 	})
 
+	// Guards against jobs that are kept for good, since their keys are more than a transaction may delete.
+	It("forgets a finished job with more keys than a transaction holds", func() {
+		c := newCluster(1)
+		c.retention = 200 * clock.Millisecond
+		for n := range 40 {
+			owner := workflow.Owner{Queue: "batch", Account: "another"}
+			c.store.Put(board.WithdrawalKey(jobID(1), fmt.Sprint(n)), workflow.Encode(owner))
+		}
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		i.submit(jobID(1), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}})
+		Eventually(func() []kv.Entry {
+			entries, _, err := i.List(GinkgoT().Context(), board.JobPrefix(jobID(1)))
+			Expect(err).NotTo(HaveOccurred())
+			return entries
+		}, shortTimeout).Should(BeEmpty())
+	})
+
 	// Guards against checkpoints that keep the progress of their job from being recorded.
 	It("keeps a job going whose checkpoints it can't hold", func() {
 		c := newCluster(1)
