--- a/review/_stand3/memory.go
+++ b/review/_stand3/memory.go
@@ -27,7 +27,7 @@
 	wilderKey   = "key-wilder"
 	memoryMB    = 284
 	// wildJobs is the number of jobs that the client of manyTasks hands in.
-	wildJobs = 36
+	wildJobs = 80
 )
 
 // newSite starts the installation and waits until it is ready.
@@ -203,7 +203,7 @@
 
 // manyTasks plays a client that nobody controls: its jobs have many tasks that need next to nothing.
 func manyTasks(s *scene) {
-	x := s.newSite(3, 6, 6*time.Second)
+	x := s.newSite(3, 12, 6*time.Second)
 	ordinary := &ordinaryCaller{site: x}
 	var callers sync.WaitGroup
 	end := time.Now().Add(60 * time.Second)
