--- a/review/_stand3/memory.go
+++ b/review/_stand3/memory.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
@@ -91,7 +90,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// caller hands small jobs in at all instances in turn, and remembers which were accepted.
+// ordinaryCaller hands small jobs in at all instances in turn, and remembers which were accepted.
 type ordinaryCaller struct {
 	site     *site
 	accepted []string
@@ -194,9 +193,6 @@
 	if unanswered > 0 {
 		x.record.breaks("LOST", "%d of %d accepted jobs are not known or get no answer", unanswered, len(ordinary.accepted))
 	}
-	for _, i := range x.instances {
-		i.signal(syscall.SIGCONT)
-	}
 }
 
 func init() { cases["tasks"] = manyTasks }
--- a/review/_stand3/process.go
+++ b/review/_stand3/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,7 +22,6 @@
 type instanceOptions struct {
 	name     string
 	store    string
-	hosts    string
 	zone     string
 	memoryMB int
 	lease    time.Duration
@@ -42,8 +40,6 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	closing bool
-	// held keeps the platform from starting the process again.
-	held bool
 	// overMemory and ownExits count the ends of the process for lack of memory and by itself.
 	overMemory, ownExits int
 	// peakKB is the largest anonymous memory of a process.
@@ -51,24 +47,38 @@
 	done   sync.WaitGroup
 }
 
-// freePorts returns n free ports of the loopback interface.
+// freePorts returns n free ports of the loopback interface. They stay reserved until the program ends: a socket
+// that is bound and does not listen keeps others from taking the port, and lets an instance listen there.
 func freePorts(n int) []int {
 	var ports []int
-	var listeners []net.Listener
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := reservePort()
 		if err != nil {
 			cannotRun("no free port: %v", err)
 		}
-		listeners = append(listeners, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	for _, l := range listeners {
-		_ = l.Close()
+		ports = append(ports, port)
 	}
 	return ports
 }
 
+func reservePort() (int, error) {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return 0, err
+	}
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return 0, err
+	}
+	bound, err := syscall.Getsockname(socket)
+	if err != nil {
+		return 0, err
+	}
+	return bound.(*syscall.SockaddrInet4).Port, nil
+}
+
 func loopback(port int) string { return "127.0.0.1:" + strconv.Itoa(port) }
 
 // newInstance writes the settings of an instance into dir. The figures are those of the site kulhar-sched.
@@ -124,9 +134,6 @@
 valueBytes = 1048576
 ttlMinMs = 1000
 `, o.name, o.zone, i.ports[0], i.ports[1], i.callers, i.ready, o.memoryMB, o.lease.Milliseconds(), o.store)
-	if o.hosts != "" {
-		text += fmt.Sprintf("[cloud]\naddress = %q\n", o.hosts)
-	}
 	if err := os.WriteFile(i.settings(), []byte(text), 0o600); err != nil {
 		cannotRun("settings: %v", err)
 	}
@@ -162,7 +169,7 @@
 
 func (i *instance) onEnd(cmd *exec.Cmd, err error) {
 	i.mu.Lock()
-	closing, held := i.closing, i.held
+	closing := i.closing
 	i.mu.Unlock()
 	if closing {
 		return
@@ -173,9 +180,6 @@
 		i.ownExits++
 		i.mu.Unlock()
 	}
-	if held {
-		return
-	}
 	time.Sleep(restartDelay)
 	i.mu.Lock()
 	closing = i.closing
@@ -225,22 +229,6 @@
 	return 0
 }
 
-// signal sends a signal to the process.
-func (i *instance) signal(s syscall.Signal) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.cmd != nil {
-		_ = i.cmd.Process.Signal(s)
-	}
-}
-
-// hold keeps the platform from starting the process again, or allows it.
-func (i *instance) hold(held bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.held = held
-}
-
 // stop ends the process for good.
 func (i *instance) stop() {
 	i.mu.Lock()
@@ -259,12 +247,3 @@
 	defer i.mu.Unlock()
 	return i.overMemory, i.ownExits, i.peakKB >> 10
 }
-
-// logged returns the lines of the instance's log that contain a text.
-func (i *instance) logged(text string) int {
-	raw, err := os.ReadFile(filepath.Join(i.dir, i.opts.name+".log"))
-	if err != nil {
-		return 0
-	}
-	return strings.Count(string(raw), text)
-}
