workflow, estimate, shortage: bound the run times that callers declare

Cause: the prediction of a run time was converted to a whole number without a bound. Out of range, the result is negative on x86-64; the need of room that follows from it is below all sizes, and the search for the size of past work ran past the last one. The sum over dependent steps, the objective and the time until a job is late overflowed as well, without any observation.

Change: no duration that follows from a caller's figure exceeds 100 years. An estimate is bounded when a job is submitted and when a record is read, so a stored job is borne as well; predictions and objectives are bounded where they are computed, and converted by clock.FromFloat, which gives the same on all processors. shortage sorts any need into one of its sizes.

Why it works: with durations of at most 100 years, the sums over 64 steps and over all stored jobs stay within 63 bits. Nothing is refused, and no job with a smaller estimate is treated differently.

--- a/board/board.go
+++ b/board/board.go
@@ -264,8 +264,8 @@
 		if v.Record != nil {
 			return nil
 		}
-		r := new(workflow.Record)
-		if err := workflow.Decode(e.Value, r); err != nil {
+		r, err := workflow.DecodeRecord(e.Value)
+		if err != nil {
 			b.onDecodeError(e.Key, err)
 			return nil
 		}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,9 @@
 	Second             = 1000 * Millisecond
 	Minute             = 60 * Second
 	Hour               = 60 * Minute
+	// Longest is the longest duration that callers' figures stand for: 100 years. Sums of a million of them stay
+	// within 63 bits.
+	Longest = 100 * 365 * 24 * Hour
 )
 
 // Duration converts the duration m to a time.Duration.
@@ -42,6 +46,15 @@
 // FromDuration converts d to milliseconds, rounding towards zero.
 func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
 
+// FromFloat converts a number of milliseconds to a duration of at most Longest in either direction, rounding towards
+// zero. NaN becomes 0. A plain conversion of a number outside the range of int64 depends on the processor.
+func FromFloat(ms float64) Millis {
+	if math.IsNaN(ms) {
+		return 0
+	}
+	return Millis(min(max(ms, -float64(Longest)), float64(Longest)))
+}
+
 // Clock returns the current time. It reads the wall clock once, when it is created, and
 // then follows the monotonic clock, so later changes of the wall clock have no effect.
 // Time during which the machine was suspended is included, as it passes for all other
--- /dev/null
+++ b/controller/figures_test.go
@@ -0,0 +1,65 @@
+package controller_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/chestnutsail/chestnutsail/board"
+	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/site"
+	"github.com/chestnutsail/chestnutsail/workflow"
+)
+
+// storeJob writes the record of a job in a queue to the store, as an earlier version may have done: with all figures as the
+// caller sent them.
+func (c *cluster) storeJob(id string, q site.Queue, spec workflow.Spec) {
+	c.store.Put(board.RecordKey(id), workflow.Encode(workflow.Record{
+		Queue: q.Name, Policy: workflow.PolicyOf(q, 1), AcceptedAt: clock.New().Now(), Token: "t", Spec: spec,
+	}))
+}
+
+// completeUnderestimated completes jobs that take five times as long as declared, and differ in their run times.
+func (i *instance) completeUnderestimated() {
+	GinkgoHelper()
+	for n := range 4 {
+		short := step(1)
+		short.Estimate = []clock.Millis{20, 200}[n%2]
+		i.submit(jobID(100+n), workflow.Spec{Payload: fmt.Sprintf("ms=%d", 5*short.Estimate), Steps: []workflow.Step{short}})
+	}
+	for n := range 4 {
+		Eventually(func() workflow.State { return i.state(jobID(100 + n)) }, shortTimeout).Should(Equal(workflow.Completed))
+	}
+}
+
+var _ = Describe("a stored job with the largest figures", func() {
+	const largest = math.MaxInt64
+
+	// Guards against a leader that panics in its plan, as each later one does, when a predicted run time overflows.
+	DescribeTable("keeps no leader from running other jobs",
+		func(change func(*workflow.Step)) {
+			c := newCluster(1)
+			i := c.startInstance(nil)
+			Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+			i.completeUnderestimated()
+			odd, short := step(8), step(1)
+			// No worker has as many, so the job waits. The second step decides when it becomes late.
+			odd.Accels, short.Accels, short.Estimate = 64, 64, 20
+			change(&odd)
+			c.storeJob(jobID(2), queues.Queues[1], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{odd, short}})
+			time.Sleep(time.Second)
+			for n := range 3 {
+				i.completeJob(jobID(3 + n))
+			}
+			i.election.Resign(GinkgoT().Context())
+			next := c.startInstance(nil)
+			Eventually(next.isLeader, shortTimeout).Should(BeTrue())
+			next.completeJob(jobID(9))
+			Expect(c.starts(jobID(2) + ".0.0.0")).To(BeEmpty())
+		},
+		Entry("in the estimated run time", func(s *workflow.Step) { s.Estimate = largest }),
+	)
+})
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -67,17 +67,17 @@
 
 // Predict returns the expected run time in milliseconds of something that is declared to run for
 // the time declared. It returns the declared time if that is not positive or nothing was observed
-// under the key.
+// under the key. No prediction exceeds clock.Longest.
 func (e *Estimator[K]) Predict(key K, declared clock.Millis) clock.Millis {
 	c := e.classes[key]
 	if c == nil || declared <= 0 {
-		return declared
+		return min(declared, clock.Longest)
 	}
 	declaredWeight := 1 / c.bias.variance(priorErrorVariance)
 	usualWeight := 1 / c.runTime.variance(priorSpreadVariance)
 	corrected := math.Log(float64(declared)) + c.bias.shrunkMean()
 	mean := (declaredWeight*corrected + usualWeight*c.runTime.mean) / (declaredWeight + usualWeight)
-	return clock.Millis(math.Round(math.Exp(mean)))
+	return clock.FromFloat(math.Round(math.Exp(mean)))
 }
 
 // class holds the statistics of one class: of the logarithms of its run times, and of the
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -45,6 +45,23 @@
 		Expect(e.Predict("q", 0)).To(BeZero())
 	})
 
+	// Guards against a prediction that overflows, which differs between processors and may be negative.
+	DescribeTable("keeps the largest declared times within the longest that is reckoned with",
+		func(observed ...clock.Millis) {
+			e := estimate.New[string]()
+			for _, o := range observed {
+				e.Observe("q", 1000, o)
+			}
+			for _, declared := range []clock.Millis{clock.Longest, math.MaxInt64} {
+				Expect(e.Predict("q", declared)).To(And(BeNumerically(">", clock.Hour), BeNumerically("<=", clock.Longest)))
+			}
+		},
+		Entry("without observations"),
+		Entry("after times that were declared well", 1000*clock.Millisecond, 1000*clock.Millisecond),
+		Entry("after times that were declared too short", 5000*clock.Millisecond, 5000*clock.Millisecond, 5000*clock.Millisecond),
+		Entry("after the longest times", clock.Longest, clock.Longest),
+	)
+
 	It("does not give up the declared time after a single outlier", func() {
 		e := estimate.New[string]()
 		e.Observe("q", 1000, 4000)
--- a/intake/owner.go
+++ b/intake/owner.go
@@ -34,15 +34,15 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	entry, err := h.opts.Store.Get(ctx, board.RecordKey(g.ID))
-	var r workflow.Record
+	var r *workflow.Record
 	if err == nil {
-		err = workflow.Decode(entry.Value, &r)
+		r, err = workflow.DecodeRecord(entry.Value)
 	}
 	if err != nil {
 		return Answer{Verdict: Unsure, RetryAfter: retryAfter, Reason: err.Error()}
 	}
 	h.opts.Board.Add(entry)
-	return h.answerDuplicate(g, &r, spec, "recorded before")
+	return h.answerDuplicate(g, r, spec, "recorded before")
 }
 
 // logForeign logs a call for a job that does not belong to the caller. The answer to the caller
--- a/intake/owner_test.go
+++ b/intake/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -129,6 +130,21 @@
 		Expect(d.call(1, "DELETE", "/o/", "", "").Verdict).To(Equal(intake.OK))
 	})
 
+	// Guards against a retry that is refused, since the figures that an earlier version stored are bounded when they are read.
+	It("can be submitted again if an earlier version has stored its figures as they were sent", func() {
+		d := newDeployment()
+		sent := func(payload string) workflow.Spec {
+			return workflow.Spec{Payload: payload, Steps: []workflow.Step{{Count: 1, Accels: 1, Estimate: math.MaxInt64}}}
+		}
+		d.store.Put(board.RecordKey(jobID), workflow.Encode(workflow.Record{Queue: "sweeps", Account: "a", Spec: sent("x")}))
+		grant, refusal := d.handlers[0].Admit(intake.Call{Host: "h", Path: "/s/" + jobID, Key: "key-a"})
+		Expect(refusal).To(BeNil())
+		for range 2 {
+			Expect(d.handlers[0].Submit(context.Background(), grant, sent("x")).Verdict).To(Equal(intake.OK))
+			Expect(d.handlers[0].Submit(context.Background(), grant, sent("y")).Verdict).To(Equal(intake.IDTaken))
+		}
+	})
+
 	It("is reported as uncertain if the store can't be read after a conflict", func() {
 		d := newDeployment()
 		Expect(d.call(0, "POST", "/s/", "key-a", "x").Verdict).To(Equal(intake.OK))
--- a/shortage/fairness.go
+++ b/shortage/fairness.go
@@ -68,9 +68,10 @@
 	return limits
 }
 
+// sizeOf returns the size group of work. The last one has no smallest need.
 func (f *fairness) sizeOf(w *Work) int {
 	size := 0
-	for w.need() < f.limits[size] {
+	for size < sizes-1 && w.need() < f.limits[size] {
 		size++
 	}
 	return size
--- a/shortage/shortage.go
+++ b/shortage/shortage.go
@@ -72,7 +72,7 @@
 }
 
 // need returns the room that the work needs times its duration.
-func (w *Work) need() float64 { return w.Room * float64(w.Duration) }
+func (w *Work) need() float64 { return w.Room * float64(max(w.Duration, 0)) }
 
 func (w *Work) late() bool { return w.Slack < 0 }
 
--- a/shortage/shortage_test.go
+++ b/shortage/shortage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -67,6 +68,17 @@
 		Expect(shortage.Turns(shortage.Input{})).To(BeNil())
 	})
 
+	// Guards against a search for the size of work that runs past the last size.
+	It("is decided whatever the durations are", func() {
+		for _, duration := range []clock.Millis{math.MinInt64, -1, 0, clock.Longest, math.MaxInt64} {
+			odd := with(work(1, late), func(w *shortage.Work) { w.Duration = duration })
+			for _, past := range [][]shortage.Work{list(odd), list(odd, odd, odd), list(work(1, now), odd)} {
+				turns := shortage.Turns(shortage.Input{Waiting: list(work(1, now), odd, with(odd, func(w *shortage.Work) { w.Slack = now })), Running: full, Past: past})
+				Expect(turns).To(HaveLen(3))
+			}
+		}
+	})
+
 	It("is the same for the same input, and never harms fixed work, whatever the loads", func() {
 		for n := range 200 {
 			var in shortage.Input
--- a/workflow/policy.go
+++ b/workflow/policy.go
@@ -35,7 +35,7 @@
 }
 
 // Objective returns the latency objective of a job: the time in milliseconds within which it should be done.
-// estimate returns the run time of a task of a step, such as Declared.
+// estimate returns the run time of a task of a step, such as Declared. It is at most clock.Longest.
 func (p Policy) Objective(s *Spec, estimate func(*Step) clock.Millis) clock.Millis {
-	return clock.Millis(p.ObjectiveFactor*float64(s.LongestChain(estimate))) + p.Target
+	return clock.FromFloat(p.ObjectiveFactor*float64(s.LongestChain(estimate)) + float64(p.Target))
 }
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,6 +47,23 @@
 		Expect(r.Objective(&r.Spec, workflow.Declared)).To(Equal(850 * clock.Millisecond))
 	})
 
+	// Guards against a stored figure with which the sums of a leader overflow.
+	It("is read with figures that sums can be made of, whatever an earlier version has stored", func() {
+		raw := workflow.Record{Policy: workflow.Policy{ObjectiveFactor: 1e300, Target: clock.Hour}, Spec: workflow.Spec{Steps: []workflow.Step{
+			{Count: 1, Estimate: math.MaxInt64},
+			{Count: 1, Estimate: math.MinInt64, After: []int{0}},
+			{Count: 1, Estimate: math.MaxInt64, After: []int{1}},
+		}}}
+		r, err := workflow.DecodeRecord(workflow.Encode(raw))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Spec.LongestChain(workflow.Declared)).To(Equal(2 * workflow.MaxEstimate))
+		Expect(r.Objective(&r.Spec, workflow.Declared)).To(Equal(clock.Longest))
+		r.ObjectiveFactor = 0
+		Expect(r.Objective(&r.Spec, workflow.Declared)).To(Equal(clock.Hour))
+		_, err = workflow.DecodeRecord([]byte{0xff})
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("starts its occurrences at fixed intervals from its first time if it is periodic", func() {
 		s := workflow.Spec{Steps: []workflow.Step{one}, Occurrences: 3, First: 1000, Interval: 250}
 		Expect(s.OccurrenceCount()).To(Equal(3))
