workflow, controller: bound the resources that callers request

Cause: the sum of what the account's jobs need overflowed to a negative number, so its third job counted as covered by the guarantee and could not be evicted.

Change: the resources of a task are bounded at 2^31, which no worker may claim to have, when a job is submitted and when its record is read. The need of a job is compared with what is left of the guarantee instead of being added first.

Why it works: 4,096 tasks of 2^31 accelerators are 2^43, so the products and sums over all stored jobs stay within 63 bits, and the remainder of a guarantee is never negative. No task fits on other workers than before, and nothing is refused.

--- a/controller/figures_test.go
+++ b/controller/figures_test.go
@@ -14,11 +14,11 @@
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
-// storeJob writes the record of a job in a queue to the store, as an earlier version may have done: with all figures as the
+// storeJob writes the record of an account's job in a queue to the store, as an earlier version may have done: with all figures as the
 // caller sent them.
-func (c *cluster) storeJob(id string, q site.Queue, spec workflow.Spec) {
+func (c *cluster) storeJob(id, account string, q site.Queue, spec workflow.Spec) {
 	c.store.Put(board.RecordKey(id), workflow.Encode(workflow.Record{
-		Queue: q.Name, Policy: workflow.PolicyOf(q, 1), AcceptedAt: clock.New().Now(), Token: "t", Spec: spec,
+		Queue: q.Name, Account: account, Policy: workflow.PolicyOf(q, 1), AcceptedAt: clock.New().Now(), Token: "t", Spec: spec,
 	}))
 }
 
@@ -49,7 +49,7 @@
 			// No worker has as many, so the job waits. The second step decides when it becomes late.
 			odd.Accels, short.Accels, short.Estimate = 64, 64, 20
 			change(&odd)
-			c.storeJob(jobID(2), queues.Queues[1], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{odd, short}})
+			c.storeJob(jobID(2), "", queues.Queues[1], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{odd, short}})
 			time.Sleep(time.Second)
 			for n := range 3 {
 				i.completeJob(jobID(3 + n))
@@ -61,5 +61,13 @@
 			Expect(c.starts(jobID(2) + ".0.0.0")).To(BeEmpty())
 		},
 		Entry("in the estimated run time", func(s *workflow.Step) { s.Estimate = largest }),
+		Entry("in the cores", func(s *workflow.Step) { s.Cores = largest }),
+		Entry("in the memory", func(s *workflow.Step) { s.Memory = largest }),
+		Entry("in the accelerators", func(s *workflow.Step) { s.Accels = largest }),
+		Entry("in the accelerators of a gang", func(s *workflow.Step) { s.Accels, s.Gang, s.SameRack = largest, true, true }),
+		Entry("in the tasks for each worker", func(s *workflow.Step) { s.PerWorker = largest }),
+		Entry("in all fields", func(s *workflow.Step) {
+			*s = workflow.Step{Count: workflow.MaxTasks, Cores: largest, Memory: largest, Accels: largest, Estimate: largest, PerWorker: largest, DisruptionBudget: largest}
+		}),
 	)
 })
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -199,7 +199,7 @@
 			need = max(need, s.Count*s.Accels)
 		}
 		account := j.record.Account
-		if used[account]+need > cfg.Account(account).Guaranteed {
+		if need > cfg.Account(account).Guaranteed-used[account] {
 			continue
 		}
 		used[account] += need
--- a/workflow/bounds.go
+++ b/workflow/bounds.go
@@ -2,9 +2,14 @@
 
 import "github.com/chestnutsail/chestnutsail/clock"
 
-// MaxEstimate is the longest estimated run time in milliseconds that makes a difference. With it, the sums over the steps
-// of a job and over all stored jobs stay within 63 bits.
-const MaxEstimate = clock.Longest
+// The largest figures that make a difference. With them, the sums and products over the steps of a job and over all stored
+// jobs stay within 63 bits.
+const (
+	// MaxResource exceeds what any worker has of a resource.
+	MaxResource = 1 << 31
+	// MaxEstimate is the longest estimated run time in milliseconds.
+	MaxEstimate = clock.Longest
+)
 
 // Bound replaces each figure that is negative or above the largest one that makes a difference by the nearest that is
 // not. It changes s and its steps.
@@ -14,7 +19,11 @@
 	}
 }
 
-func (s *Step) bound() { s.Estimate = within(s.Estimate, MaxEstimate) }
+func (s *Step) bound() {
+	s.Cores, s.Memory, s.Accels = within(s.Cores, MaxResource), within(s.Memory, MaxResource), within(s.Accels, MaxResource)
+	s.Estimate = within(s.Estimate, MaxEstimate)
+	s.PerWorker, s.DisruptionBudget = within(s.PerWorker, MaxTasks), within(s.DisruptionBudget, MaxTasks)
+}
 
 // within returns the number from 0 to largest that is the nearest to n.
 func within[T int | clock.Millis](n, largest T) T { return min(max(n, 0), largest) }
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -60,6 +60,15 @@
 		Expect(r.Objective(&r.Spec, workflow.Declared)).To(Equal(clock.Longest))
 		r.ObjectiveFactor = 0
 		Expect(r.Objective(&r.Spec, workflow.Declared)).To(Equal(clock.Hour))
+		for _, n := range []int{math.MaxInt64, math.MinInt64} {
+			raw.Spec.Steps[0] = workflow.Step{Count: workflow.MaxTasks, Cores: n, Memory: n, Accels: n, PerWorker: n, DisruptionBudget: n}
+			r, err = workflow.DecodeRecord(workflow.Encode(raw))
+			Expect(err).NotTo(HaveOccurred())
+			s := r.Spec.Steps[0]
+			for _, bounded := range []int{s.Cores, s.Memory, s.Accels, s.PerWorker, s.DisruptionBudget} {
+				Expect(bounded).To(And(BeNumerically(">=", 0), BeNumerically("<=", workflow.MaxResource)))
+			}
+		}
 		_, err = workflow.DecodeRecord([]byte{0xff})
 		Expect(err).To(HaveOccurred())
 	})
