cover, controller: cover no more work than a job is counted with

What callers saw: an account held twice its guarantee or more, and no other account's job within its own guarantee could take the room back, while the first one ran a job of steps that don't depend on each other, or of occurrences that overlap.

Cause: a job is counted with its widest step, but all of its work was covered.

Evidence: two new entries of the spec of the guarantee, two steps and two occurrences of 4 tasks each under a guarantee of 4, failed before.

Change: each job has a share of its account's guarantee, and its work takes from it piece by piece. Work beyond the share is served and evicted like work without a guarantee.

Why it works: the covered work of an account never needs more than its guarantee, so there is room for the work of all others within theirs. A job whose steps follow each other is covered as before.

--- a/controller/guarantee_test.go
+++ b/controller/guarantee_test.go
@@ -50,5 +50,7 @@
 			workflow.Spec{Steps: []workflow.Step{tasks(1, 1)}}, workflow.Spec{Steps: []workflow.Step{tasks(1, math.MaxInt64)}}, workflow.Spec{Steps: []workflow.Step{tasks(7, 1)}}),
 		Entry("tasks whose accelerators overflow together", 0,
 			workflow.Spec{Steps: []workflow.Step{tasks(2, 1<<62)}}, workflow.Spec{Steps: []workflow.Step{tasks(4, 1<<62)}}, workflow.Spec{Steps: []workflow.Step{tasks(8, 1)}}),
+		Entry("steps beside each other, each within its guarantee", 0, workflow.Spec{Steps: []workflow.Step{tasks(4, 1), tasks(4, 1)}}),
+		Entry("occurrences beside each other, each within its guarantee", 0, workflow.Spec{Occurrences: 2, First: 1, Steps: []workflow.Step{tasks(4, 1)}}),
 	)
 })
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutsail/chestnutsail/agent"
 	"github.com/chestnutsail/chestnutsail/clock"
+	"github.com/chestnutsail/chestnutsail/cover"
 	"github.com/chestnutsail/chestnutsail/planner"
 )
 
@@ -127,9 +128,9 @@
 		p.Usable = p.Usable && !unreachable[n.worker.Domain] && !closed(n.worker.Domain)
 		snap.input.Nodes = append(snap.input.Nodes, p)
 	}
-	guaranteed := c.guaranteedJobs()
+	shares := c.shares()
 	for _, j := range c.unfinishedJobs() {
-		c.addJob(snap, j, guaranteed[j], now)
+		c.addJob(snap, j, shares[j], now)
 	}
 	return snap
 }
@@ -183,33 +184,23 @@
 	return p
 }
 
-// guaranteedJobs returns the urgent jobs that fit into the guarantees of their accounts. The jobs
-// accepted first count first.
-func (c *Controller) guaranteedJobs() map[*job]bool {
+// shares returns the shares of the urgent jobs in the guarantees of their accounts. The jobs accepted first count
+// first. A job counts with its widest step, and no more of its work is covered at a time.
+func (c *Controller) shares() map[*job]*cover.Share {
 	cfg := c.opts.Config()
-	fits := make(map[*job]bool)
-	used := make(map[string]int)
+	guarantees := cover.New(func(account string) int { return cfg.Account(account).Guaranteed })
+	shares := make(map[*job]*cover.Share)
 	for _, j := range c.unfinishedJobs() {
-		if j.policy.Priority != urgentPriority {
-			continue
-		}
-		need := 0
-		for i := range j.record.Spec.Steps {
-			s := &j.record.Spec.Steps[i]
-			need = max(need, s.Count*s.Accels)
-		}
-		account := j.record.Account
-		if need > cfg.Account(account).Guaranteed-used[account] {
-			continue
+		if j.policy.Priority == urgentPriority {
+			shares[j] = guarantees.Share(j.record.Account, j.record.Spec.WidestStep())
 		}
-		used[account] += need
-		fits[j] = true
 	}
-	return fits
+	return shares
 }
 
-// addJob adds the waiting tasks and the runs of a job to the input of a plan.
-func (c *Controller) addJob(snap *snapshot, j *job, guaranteed bool, now clock.Millis) {
+// addJob adds the waiting tasks and the runs of a job to the input of a plan. The first steps take from the job's share
+// first.
+func (c *Controller) addJob(snap *snapshot, j *job, share *cover.Share, now clock.Millis) {
 	room := c.recordRoom(j, snap.longestID)
 	j.openOccurrences(now, func(occurrence int) {
 		for i := range j.record.Spec.Steps {
@@ -217,9 +208,9 @@
 			if p.isDone() {
 				continue
 			}
-			c.addRunning(snap, p, guaranteed, now)
+			c.addRunning(snap, p, share, now)
 			if j.stepReady(occurrence, i) && now >= j.heldBackUntil {
-				c.addUnit(snap, p, room, guaranteed, now)
+				c.addUnit(snap, p, room, share, now)
 			}
 		}
 	})
@@ -250,7 +241,7 @@
 }
 
 // addUnit adds the waiting tasks of a part to the input of a plan, as far as its job's room allows.
-func (c *Controller) addUnit(snap *snapshot, p *part, room recordRoom, guaranteed bool, now clock.Millis) {
+func (c *Controller) addUnit(snap *snapshot, p *part, room recordRoom, share *cover.Share, now clock.Millis) {
 	begun, others := p.waiting()
 	waiting := len(begun) + others
 	// A gang is added only when all its tasks wait.
@@ -269,6 +260,7 @@
 	}
 	objective := c.objective(j)
 	needed, late := c.neededSpeed(p, c.longestChainFrom(p), begin+objective, now)
+	guaranteed := share.Take(count * p.step.Accels)
 	u := planner.Unit{
 		Service: j.policy.Service, Label: p.step.Label, DataRack: p.step.DataRack, Priority: j.policy.Priority, Guaranteed: guaranteed,
 		Shape: p.shape(), Count: count, Gang: p.step.Gang, SameRack: p.step.SameRack, PerWorker: p.step.PerWorker, Lasting: p.step.UntilCancelled,
@@ -308,7 +300,7 @@
 
 // addRunning adds the runs of a part, except for those being stopped, to the running work in the
 // input of a plan. A gang is evicted as a whole.
-func (c *Controller) addRunning(snap *snapshot, p *part, guaranteed bool, now clock.Millis) {
+func (c *Controller) addRunning(snap *snapshot, p *part, share *cover.Share, now clock.Millis) {
 	var gang []*run
 	for _, r := range p.runs() {
 		if r.state == stopping {
@@ -318,15 +310,15 @@
 			gang = append(gang, r)
 			continue
 		}
-		c.addRunningWork(snap, p, []*run{r}, guaranteed, now)
+		c.addRunningWork(snap, p, []*run{r}, share, now)
 	}
 	if len(gang) > 0 {
-		c.addRunningWork(snap, p, gang, guaranteed, now)
+		c.addRunningWork(snap, p, gang, share, now)
 	}
 }
 
-func (c *Controller) addRunningWork(snap *snapshot, p *part, runs []*run, guaranteed bool, now clock.Millis) {
-	work := planner.RunningWork{Priority: p.job.policy.Priority, Guaranteed: guaranteed, Shape: p.shape(), Pinned: p.step.UntilCancelled}
+func (c *Controller) addRunningWork(snap *snapshot, p *part, runs []*run, share *cover.Share, now clock.Millis) {
+	work := planner.RunningWork{Priority: p.job.policy.Priority, Guaranteed: share.Take(len(runs) * p.step.Accels), Shape: p.shape(), Pinned: p.step.UntilCancelled}
 	for _, r := range runs {
 		work.Nodes = append(work.Nodes, snap.nodeIndex[r.node])
 		work.Loss += c.lostWork(r, now)
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -163,6 +163,15 @@
 	return longestChains
 }
 
+// WidestStep returns the number of accelerators that the step with the most of them needs.
+func (s *Spec) WidestStep() int {
+	widest := 0
+	for i := range s.Steps {
+		widest = max(widest, s.Steps[i].Count*s.Steps[i].Accels)
+	}
+	return widest
+}
+
 // UntilCancelled reports whether the job has tasks that run until it is cancelled.
 func (s *Spec) UntilCancelled() bool {
 	for i := range s.Steps {
