planner: reclaim cores from covered work without accelerators

What callers saw: no job within the guarantee of its account began while another account's job of priority 0, with tasks that need no accelerator, used all cores. The other account may have had no guarantee at all.

Cause: a job counts against the guarantee of its account with its accelerators. One without any counts with nothing, so it always fits and all of its work was covered.

Change: covered units that need accelerators are served before those that don't, and may evict covered work that has none. Among work without accelerators nothing changes, and it still precedes all work that is not covered.

Why it works: what such units evict has none of the accelerators that any guarantee stands for, and is served after them, so it doesn't take the room back.

--- a/controller/guarantee_test.go
+++ b/controller/guarantee_test.go
@@ -52,5 +52,6 @@
 			workflow.Spec{Steps: []workflow.Step{tasks(2, 1<<62)}}, workflow.Spec{Steps: []workflow.Step{tasks(4, 1<<62)}}, workflow.Spec{Steps: []workflow.Step{tasks(8, 1)}}),
 		Entry("steps beside each other, each within its guarantee", 0, workflow.Spec{Steps: []workflow.Step{tasks(4, 1), tasks(4, 1)}}),
 		Entry("occurrences beside each other, each within its guarantee", 0, workflow.Spec{Occurrences: 2, First: 1, Steps: []workflow.Step{tasks(4, 1)}}),
+		Entry("tasks without accelerators that use all cores", 0, workflow.Spec{Steps: []workflow.Step{{Count: 8, Cores: 8000, Estimate: 60000}}}),
 	)
 })
--- a/planner/evict.go
+++ b/planner/evict.go
@@ -221,14 +221,20 @@
 	return 1
 }
 
+// isProtectedFrom reports whether work is not evicted for a unit, since it is within a guarantee. Guarantees are of
+// accelerators: work that has none makes way for a unit within its guarantee that needs some.
+func (w *RunningWork) isProtectedFrom(u *Unit) bool {
+	return w.Guaranteed && (w.Shape.Accels > 0 || u.Shape.Accels == 0)
+}
+
 // evictable returns the indices in Running of the work on a node that may be evicted for a unit and
-// is not selected yet, ordered by cost. Work within a guarantee and pinned work are never
+// is not selected yet, ordered by cost. Work that is protected and pinned work are never
 // evicted; other work must have a lower priority, unless the unit is within its guarantee.
 func (p *plan) evictable(u *Unit, n int, selected map[int]bool) []int {
 	var list []int
 	for _, w := range p.onNode[n] {
 		work := &p.Running[w]
-		outranked := !work.Guaranteed && (u.Guaranteed || work.Priority > u.Priority)
+		outranked := !work.isProtectedFrom(u) && (u.Guaranteed || work.Priority > u.Priority)
 		if outranked && !work.Pinned && !p.evicted[w] && !selected[w] && !slices.Contains(list, w) {
 			list = append(list, w)
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -212,8 +212,8 @@
 	evictingUnits    int
 }
 
-// Plan serves all units in order of precedence: guaranteed units first, then by priority, and
-// hopeless units last. It does not modify its input.
+// Plan serves all units in order of precedence: guaranteed units first, those that need accelerators before the others,
+// then by priority, and hopeless units last. It does not modify its input.
 func Plan(in Input) Output {
 	p := newPlan(in)
 	p.setTurns()
@@ -280,6 +280,7 @@
 func compareUnits(a, b *Unit) int {
 	return cmp.Or(
 		falseFirst(!a.Guaranteed, !b.Guaranteed),
+		falseFirst(a.Guaranteed && a.Shape.Accels == 0, b.Guaranteed && b.Shape.Accels == 0),
 		falseFirst(a.Hopeless, b.Hopeless),
 		cmp.Compare(a.Priority, b.Priority),
 		falseFirst(a.Late, b.Late),
