planner: let guaranteed work evict whatever it costs

Cause: evictions for a guaranteed unit were limited to that cost, which was meant as no limit. The loss is the product of the requested resources, the time of a run and, after a change of the leader, the declared run time. It reaches 1e9 with resources of 2^31 or a run time of 100 years, which are within the bounds.

Evidence: the three new entries of the planner's spec failed before.

Change: the cost of evictions for guaranteed units has no limit. The least cost still selects what is evicted.

Why it works: a guarantee can be taken back whatever the loss is taken for.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -268,7 +268,7 @@
 		Late:     late && !p.step.UntilCancelled,
 		Hopeless: !p.step.UntilCancelled && now > begin+hopelessFactor*objective,
 		Slack:    begin + objective - now - c.longestChainFrom(p), Account: r.Account,
-		Begun: len(p.step.After) > 0 || waiting < p.size(), MaxLoss: maxEvictionLoss(p, guaranteed),
+		Begun: len(p.step.After) > 0 || waiting < p.size(), MaxLoss: maxEvictionLoss(p),
 		MinSpeed: needed,
 	}
 	u.TasksOnNode = make(map[int]int)
@@ -287,15 +287,12 @@
 }
 
 // maxEvictionLoss returns how much work, in core-seconds, may be lost by evicting other work so
-// that a part starts at once.
-func maxEvictionLoss(p *part, guaranteed bool) float64 {
-	switch {
-	case guaranteed:
-		return 1e9
-	case p.job.policy.Priority == urgentPriority:
-		return float64(p.step.Count) * planner.UrgentTaskWorth
+// that a part that is not covered by a guarantee starts at once.
+func maxEvictionLoss(p *part) float64 {
+	if p.job.policy.Priority != urgentPriority {
+		return 0
 	}
-	return 0
+	return float64(p.step.Count) * planner.UrgentTaskWorth
 }
 
 // addRunning adds the runs of a part, except for those being stopped, to the running work in the
--- a/planner/evict.go
+++ b/planner/evict.go
@@ -24,7 +24,7 @@
 			best, leastCost = victims, cost
 		}
 	}
-	if best == nil || leastCost > u.MaxLoss {
+	if best == nil || leastCost > u.maxLoss() {
 		return false
 	}
 	p.countAsFreeSoon(best, 1)
@@ -41,6 +41,14 @@
 	return true
 }
 
+// maxLoss returns the largest cost in core-seconds of the evictions that the unit may cause.
+func (u *Unit) maxLoss() float64 {
+	if u.Guaranteed {
+		return math.Inf(1)
+	}
+	return u.MaxLoss
+}
+
 // UrgentTaskWorth is how much work, in core-seconds, may be thrown away so that one urgent task ends
 // in time. At the prices of both sites, that work is worth less than such a task.
 const UrgentTaskWorth = 250
@@ -85,7 +93,7 @@
 // victims selects the running work to evict so that the unit fits on a set of nodes. It returns
 // the indices in Running and their total cost in core-seconds. It selects greedily, by the cost for
 // each additional task. ok is false if nothing has to be evicted, if evictions can't make enough
-// room, or if the selection exceeds u.MaxLoss.
+// room, or if the selection exceeds what the unit may cause.
 func (p *plan) victims(u *Unit, set []int) (chosen []int, cost float64, ok bool) {
 	c := victimSelection{plan: p, unit: u, free: make(map[int]Shape), selected: make(map[int]bool), inSet: make([]bool, len(p.Nodes))}
 	c.missing = p.requiredTasks(u)
@@ -200,7 +208,7 @@
 			c.addFree(n, work.Shape)
 		}
 	}
-	return c.cost <= c.unit.MaxLoss
+	return c.cost <= c.unit.maxLoss()
 }
 
 // addFree adds free resources on a node and lowers missing by the tasks that now fit there.
--- a/planner/evict_test.go
+++ b/planner/evict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -24,6 +25,14 @@
 		return planner.Plan(in).Evict
 	}
 
+	// Guards against work whose loss is overestimated, so that no guarantee can take its room back.
+	DescribeTable("may lose any amount",
+		func(loss float64) {
+			Expect(evictions(planner.Unit{Guaranteed: true, Shape: whole}, planner.RunningWork{Priority: 1, Shape: whole, Loss: loss})).To(Equal([]int{0}))
+		},
+		Entry("more than MaxLoss", 2e9), Entry("300,000 years of a worker", 1e15), Entry("as much as can be counted", math.MaxFloat64),
+	)
+
 	// Guards against work without accelerators that holds all cores under a guarantee of accelerators.
 	DescribeTable("includes work without accelerators",
 		func(shape planner.Shape, runningShape planner.Shape, victims ...int) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -118,7 +118,8 @@
 	// MinSpeed is the speed of a node that the unit needs to meet the latency objective of its job; 0 means
 	// that the speed does not matter.
 	MinSpeed float64
-	// MaxLoss is the largest cost in core-seconds of the evictions that the unit may cause.
+	// MaxLoss is the largest cost in core-seconds of the evictions that the unit may cause. A guaranteed unit may
+	// cause any.
 	MaxLoss float64
 }
 
@@ -320,7 +321,7 @@
 		p.claimSoon(u, nodes)
 		return false
 	}
-	if u.MaxLoss > 0 && p.evictingUnits < maxEvictions && p.evict(u) {
+	if u.maxLoss() > 0 && p.evictingUnits < maxEvictions && p.evict(u) {
 		p.evictingUnits++
 		return false
 	}
