controller: bound the loss of work by what it can have used

What callers saw: after a change of the leader, an urgent job without a guarantee waited behind work of lower priority that had been declared to take 100 years, until that work ended. It did the same behind fillers that request more cores than there are, under any leader.

Cause: the loss by an eviction was derived from what callers declare. A run that an earlier leader has started was taken to have lasted for the done share of its declared run time, and a filler, which uses only cores that are idle, for all that it requests.

Change: a run of an earlier leader is at most as old as its job, and a filler loses at most the cores of its worker.

Why it works: both are larger than the true loss, and neither grows with a figure of a caller.

--- a/controller/guarantee_test.go
+++ b/controller/guarantee_test.go
@@ -55,3 +55,18 @@
 		Entry("tasks without accelerators that use all cores", 0, workflow.Spec{Steps: []workflow.Step{{Count: 8, Cores: 8000, Estimate: 60000}}}),
 	)
 })
+
+var _ = Describe("an urgent job beside fillers that request more cores than there are", func() {
+	// Guards against an eviction that seems to cost more than the job is worth, by cores that the evicted work never had.
+	It("begins in time without a guarantee", func() {
+		c := newCluster(1)
+		i := c.startInstance(nil)
+		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+		fillers := workflow.Step{Count: 8, Cores: math.MaxInt64, Accels: 1, Estimate: 60000, Filler: true}
+		c.storeJob(jobID(1), "", queues.Queues[1], workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{fillers}})
+		Eventually(c.workers[0].Running, shortTimeout).Should(Equal(8))
+		time.Sleep(300 * time.Millisecond)
+		c.storeJob(jobID(2), "", queues.Queues[0], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{{Count: 1, Cores: 100, Accels: 1, Estimate: 20}}})
+		Eventually(func() int { return len(c.starts(jobID(2) + ".0.0.0")) }, reclaimTime).Should(Equal(1))
+	})
+})
--- a/controller/inherited_test.go
+++ b/controller/inherited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"time"
 
@@ -72,3 +73,26 @@
 		Eventually(c.workers[0].Running, shortTimeout).Should(BeZero())
 	})
 })
+
+var _ = Describe("a new leader beside work that was declared to take far longer than it has existed", func() {
+	// Guards against work whose loss is derived from the declared run time, so that it is never evicted.
+	It("evicts it for urgent work", func() {
+		c := newCluster(1)
+		first := c.startInstance(nil)
+		Eventually(first.isLeader, shortTimeout).Should(BeTrue())
+		whole := step(8)
+		whole.Accels, whole.Estimate = 1, math.MaxInt64
+		c.storeJob(jobID(1), "", queues.Queues[1], workflow.Spec{Payload: "ms=20000", Steps: []workflow.Step{whole}})
+		Eventually(c.workers[0].Running, shortTimeout).Should(Equal(8))
+		// The tasks have to show some progress.
+		time.Sleep(time.Second)
+		first.election.Resign(GinkgoT().Context())
+
+		next := c.startInstance(nil)
+		Eventually(next.isLeader, shortTimeout).Should(BeTrue())
+		urgent := step(1)
+		urgent.Accels = 1
+		c.storeJob(jobID(2), "", queues.Queues[0], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{urgent}})
+		Eventually(func() int { return len(c.starts(jobID(2) + ".0.0.0")) }, reclaimTime).Should(Equal(1))
+	})
+})
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -337,6 +337,7 @@
 		// lost.
 		lostTime = min(lostTime, c.opts.Limits().Restore)
 	}
-	shape := planner.Shape{Cores: step.Cores, Accels: step.Accels}
+	// A filler uses no more cores than its worker has, whatever it requests.
+	shape := planner.Shape{Cores: min(step.Cores, r.node.worker.Cores), Accels: step.Accels}
 	return float64(shape.Weight()) / 1000 * float64(lostTime) / float64(clock.Second)
 }
--- a/controller/runtimes.go
+++ b/controller/runtimes.go
@@ -107,7 +107,7 @@
 }
 
 // timeRun estimates for how long a run has been running, in milliseconds. For a run that an
-// earlier leader started, it is derived from the progress.
+// earlier leader started, it is derived from the progress, and is at most the time since the acceptance of its job.
 func (c *Controller) timeRun(r *run, now clock.Millis) clock.Millis {
 	switch {
 	case r.firstSeen == 0:
@@ -117,7 +117,8 @@
 		if duration == 0 {
 			duration = float64(c.predictRunTime(r.task.part))
 		}
-		return max(now-r.firstSeen, clock.Millis(duration*float64(r.percent)/100))
+		since := now - r.task.part.job.record.AcceptedAt
+		return max(now-r.firstSeen, min(clock.FromFloat(duration*float64(r.percent)/100), since))
 	}
 	return now - r.firstSeen
 }
