planner, controller: leave out work that no worker can hold

What callers saw: after an urgent job that asked for more accelerators than any worker has, work that needed most of a service waited, also when that job was hopeless or cancelled. While such a job waited in a full service, all later work was deferred, and an account with such jobs that had become late was served before others.

Cause: the demand of urgent work, the forecast of too little room and the record of past work counted units that can't start. The recent demand halves every 8 s, so a figure of 2^31 kept room free for minutes.

Change: planner.Input.Unplaceable tells the units whose request exceeds, in any resource, what the largest usable worker of their service has, or for a gang, all of them together. They are left out of the three.

Why it works: such a unit takes no room, so none has to be kept or predicted for it, and it isn't late because others were served. It waits as before, and counts again once a worker that can hold it is usable.

--- a/controller/headroom.go
+++ b/controller/headroom.go
@@ -32,7 +32,8 @@
 }
 
 // urgentDemand returns, by service, the number of accelerators that urgent work uses or waits
-// for, and the number of accelerators of all usable workers. Hopeless units that wait do not count.
+// for, and the number of accelerators of all usable workers. Hopeless units that wait do not count, nor do units that
+// can't start.
 func urgentDemand(snap *snapshot) (demand, capacity map[string]int) {
 	demand, capacity = make(map[string]int), make(map[string]int)
 	for i := range snap.input.Nodes {
@@ -47,9 +48,9 @@
 			demand[snap.input.Nodes[work.Nodes[0]].Service] += len(work.Nodes) * work.Shape.Accels
 		}
 	}
-	for i := range snap.input.Units {
+	for i, unplaceable := range snap.input.Unplaceable() {
 		u := &snap.input.Units[i]
-		if u.Priority == urgentPriority && !u.Hopeless {
+		if u.Priority == urgentPriority && !u.Hopeless && !unplaceable {
 			demand[u.Service] += u.Count * u.Shape.Accels
 		}
 	}
--- a/controller/shortage.go
+++ b/controller/shortage.go
@@ -46,14 +46,16 @@
 }
 
 // notePast adds the units that a plan starts and those that have become late to the past units, each part once.
+// Units that can't start are left out: they are not late for want of room.
 func (c *Controller) notePast(snap *snapshot, starts []planner.Start) {
 	starting := make(map[int]bool, len(starts))
 	for _, s := range starts {
 		starting[s.Unit] = true
 	}
+	unplaceable := snap.input.Unplaceable()
 	for i, p := range snap.unitParts {
 		u := &snap.input.Units[i]
-		if p.past || u.Begun || (u.Slack >= 0 && !starting[i]) {
+		if p.past || u.Begun || unplaceable[i] || (u.Slack >= 0 && !starting[i]) {
 			continue
 		}
 		p.past = true
--- a/planner/shape.go
+++ b/planner/shape.go
@@ -49,3 +49,11 @@
 func (s Shape) minimum(o Shape) Shape {
 	return Shape{min(s.Cores, o.Cores), min(s.Memory, o.Memory), min(s.Accels, o.Accels)}
 }
+
+// maximum returns the larger of s and o in each dimension.
+func (s Shape) maximum(o Shape) Shape {
+	return Shape{max(s.Cores, o.Cores), max(s.Memory, o.Memory), max(s.Accels, o.Accels)}
+}
+
+// within reports whether s is at most o in each dimension.
+func (s Shape) within(o Shape) bool { return s.minimum(o) == s }
--- a/planner/shortage.go
+++ b/planner/shortage.go
@@ -5,7 +5,7 @@
 // setTurns sets the turns of the units of services with too little room.
 func (p *plan) setTurns() {
 	for service, u := range p.usages {
-		in, units := p.shortageInput(service, u.total)
+		in, units := p.shortageInput(service, u)
 		for k, turn := range shortage.Turns(in) {
 			p.Units[units[k]].Turn = turn
 		}
@@ -18,11 +18,13 @@
 }
 
 // shortageInput returns the waiting and the running work of a service, and the indices of the waiting units.
-// Hopeless units are left out: they are served last in any case.
-func (p *plan) shortageInput(service string, total Shape) (in shortage.Input, units []int) {
+// Hopeless units are left out: they are served last in any case. So are units that can't start, whose predicted room
+// nobody would use.
+func (p *plan) shortageInput(service string, use usage) (in shortage.Input, units []int) {
+	total := use.total
 	for i := range p.Units {
 		u := &p.Units[i]
-		if u.Service != service || u.Hopeless && !u.Guaranteed {
+		if u.Service != service || u.Hopeless && !u.Guaranteed || !use.canHold(u) {
 			continue
 		}
 		units = append(units, i)
--- a/planner/usage.go
+++ b/planner/usage.go
@@ -1,7 +1,8 @@
 package planner
 
-// usage is the used and the total amount of resources on the usable nodes of a service.
-type usage struct{ used, total Shape }
+// usage is the used and the total amount of resources on the usable nodes of a service. largest is the most of each
+// resource that any of them has.
+type usage struct{ used, total, largest Shape }
 
 // halfEmpty reports whether less than half of a service is in use. It counts accelerators if the
 // service has any, and cores otherwise. Work that could run must not wait for long in a half-empty
@@ -48,7 +49,29 @@
 		u := byService[n.Service]
 		u.used = u.used.Add(n.Capacity.Sub(n.Free))
 		u.total = u.total.Add(n.Capacity)
+		u.largest = u.largest.maximum(n.Capacity)
 		byService[n.Service] = u
 	}
 	return byService
 }
+
+// canHold reports whether a unit could start if all usable nodes of the service were empty, as far as sums and
+// maxima of the resources tell.
+func (u usage) canHold(unit *Unit) bool {
+	needed := unit.Shape
+	if unit.Gang {
+		needed = unit.Shape.Times(unit.Count)
+	}
+	return unit.Shape.within(u.largest) && needed.within(u.total)
+}
+
+// Unplaceable reports, for each unit, whether it requests so much that it could not start even if all usable nodes of
+// its service were empty. Such a unit waits, and must not count as demand or as work that came late for want of room.
+func (in *Input) Unplaceable() []bool {
+	usages := usageByService(in.Nodes)
+	unplaceable := make([]bool, len(in.Units))
+	for i := range in.Units {
+		unplaceable[i] = !usages[in.Units[i].Service].canHold(&in.Units[i])
+	}
+	return unplaceable
+}
