workflow: bound the times of occurrences

A job whose startAtMs or intervalMs is near 2^63 ran its occurrences at once instead of in a distant future.

Cause: the time at which an occurrence is due is startAtMs plus a multiple of intervalMs, compared after a margin is added. The sums overflowed to a negative time, which counts as due.

Evidence: three new entries of the controller and one spec of workflow failed before.

Change: both figures are bounded by the end of the year 9999, when a job is submitted and when its record is read.

Why it works: the due time of the 10,000th occurrence is then below 2^62. No job with times before the year 9999 is treated differently, and nothing is refused.

--- a/controller/figures_test.go
+++ b/controller/figures_test.go
@@ -71,3 +71,29 @@
 		}),
 	)
 })
+
+var _ = Describe("a stored job with the largest times", func() {
+	// Guards against a time that overflows, so that an occurrence starts long before it is due.
+	DescribeTable("starts no occurrence before its time",
+		func(first, interval clock.Millis, due int) {
+			c := newCluster(1)
+			i := c.startInstance(nil)
+			Eventually(i.isLeader, shortTimeout).Should(BeTrue())
+			c.storeJob(jobID(1), "", queues.Queues[1], workflow.Spec{Payload: "ms=20", Occurrences: 3, First: first, Interval: interval, Steps: []workflow.Step{step(1)}})
+			Eventually(func() bool { _, known := i.board.Find(jobID(1)); return known }, shortTimeout).Should(BeTrue())
+			i.completeJob(jobID(2))
+			started := func() int {
+				n := 0
+				for k := range 3 {
+					n += len(c.starts(fmt.Sprintf("%s.%d.0.0", jobID(1), k)))
+				}
+				return n
+			}
+			Eventually(started, shortTimeout).Should(Equal(due))
+			Consistently(started, 500*time.Millisecond).Should(Equal(due))
+		},
+		Entry("if the first is due at the last moment", clock.Millis(math.MaxInt64), clock.Millis(0), 0),
+		Entry("if the interval is the longest", clock.Millis(1), clock.Millis(math.MaxInt64), 1),
+		Entry("if both are the largest", clock.Millis(math.MaxInt64), clock.Millis(math.MaxInt64), 0),
+	)
+})
--- a/workflow/bounds.go
+++ b/workflow/bounds.go
@@ -9,11 +9,15 @@
 	MaxResource = 1 << 31
 	// MaxEstimate is the longest estimated run time in milliseconds.
 	MaxEstimate = clock.Longest
+	// MaxTime is the latest Unix time in milliseconds that an occurrence may be due at, and the longest interval
+	// between two: the end of the year 9999.
+	MaxTime clock.Millis = 253402300799999
 )
 
 // Bound replaces each figure that is negative or above the largest one that makes a difference by the nearest that is
 // not. It changes s and its steps.
 func (s *Spec) Bound() {
+	s.First, s.Interval = within(s.First, MaxTime), within(s.Interval, MaxTime)
 	for i := range s.Steps {
 		s.Steps[i].bound()
 	}
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -77,6 +77,9 @@
 		s := workflow.Spec{Steps: []workflow.Step{one}, Occurrences: 3, First: 1000, Interval: 250}
 		Expect(s.OccurrenceCount()).To(Equal(3))
 		Expect(s.EarliestStart(2)).To(Equal(1500 * clock.Millisecond))
+		s.Occurrences, s.First, s.Interval = workflow.MaxOccurrences, math.MaxInt64, math.MaxInt64
+		s.Bound()
+		Expect(s.EarliestStart(workflow.MaxOccurrences - 1)).To(Equal(workflow.MaxOccurrences * workflow.MaxTime))
 		s.Occurrences = 0
 		Expect(s.OccurrenceCount()).To(Equal(1))
 		Expect(s.EarliestStart(0)).To(BeZero())
