estimate: limit what one declared time decides

After one job whose declared run time was absurd, the predictions for all jobs of its queue, of any account, followed the usual run time of the queue instead of what was declared. A job of 60 s was predicted to take 1 s.

Cause: the variance of the errors of declared times is a mean of their squares. One error of a factor of 1e9 makes it so large that declared times count for nothing.

Change: an error counts as 4 standard deviations from the mean at most.

Why it works: one job changes the variance by a small factor, while errors that are usual in a class make the deviation, and so the limit, grow with each job.

--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -34,6 +34,9 @@
 	priorSpreadVariance = 1.0
 	// minVariance keeps the weights finite when all observations are equal.
 	minVariance = 0.001
+	// maxDeviations is the number of standard deviations from the mean that the error of a declared time counts as at
+	// most. A declared time is the caller's choice, and a single one must not decide about those of all others.
+	maxDeviations = 4
 	// memory is the number of observations after which the oldest ones count for less.
 	memory = 64
 	// maxClasses bounds the number of classes that are remembered.
@@ -62,7 +65,7 @@
 		e.classes[key] = c
 	}
 	c.runTime.add(math.Log(float64(observed)))
-	c.bias.add(math.Log(float64(observed) / float64(declared)))
+	c.bias.add(c.bias.within(math.Log(float64(observed)/float64(declared)), maxDeviations*math.Sqrt(c.bias.variance(priorErrorVariance))))
 }
 
 // Predict returns the expected run time in milliseconds of something that is declared to run for
@@ -102,6 +105,11 @@
 	m.squares += delta * (value - m.mean)
 }
 
+// within returns the value that is the nearest to value among those that differ from the mean by limit at most.
+func (m *moments) within(value, limit float64) float64 {
+	return min(max(value, m.mean-limit), m.mean+limit)
+}
+
 // variance returns the variance of the series, with a prior that fades as values are added.
 func (m *moments) variance(prior float64) float64 {
 	return max(minVariance, (priorWeight*prior+m.squares)/(priorWeight+m.weight))
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -68,6 +68,20 @@
 		Expect(e.Predict("q", 1000)).To(BeNumerically("<", 2500))
 	})
 
+	// Guards against one caller's declared time that spoils the predictions for all others of its class.
+	DescribeTable("goes by declared times that were right, after one that is absurd",
+		func(declared, observed clock.Millis) {
+			e := estimate.New[string]()
+			for i := range 24 {
+				e.Observe("q", clock.Millis(1000+i), clock.Millis(1000+i))
+			}
+			e.Observe("q", declared, observed)
+			Expect(e.Predict("q", clock.Minute)).To(BeNumerically("~", clock.Minute, clock.Minute/4))
+		},
+		Entry("far too long", clock.Longest, 1000*clock.Millisecond),
+		Entry("far too short", clock.Millisecond, 1000*clock.Millisecond),
+	)
+
 	// The error is the root mean square of the logarithm of predicted over real run time.
 	DescribeTable("predicts better than the better of declared and usual time, after few jobs",
 		func(w workload, jobs int, largestError float64) {
