queue: bound the declared run time in a rank

A job of the product's own interface whose declared run time is near 2^63 ms was served before all others of its account, and as a quick job if its class allows that.

Cause: the rank of a job is its arrival plus its expected run time, which is the declared one times the usual error of its service. Sum and product overflowed to negative numbers.

Change: a declared run time counts as 100 years at most.

Why it works: 100 years times the largest error of a factor of 100, and any time of arrival, stay within 63 bits. Accelerators, cores and memory of this interface have limits of their own.

--- a/queue/history.go
+++ b/queue/history.go
@@ -47,9 +47,10 @@
 }
 
 // ExpectedRunTime returns the run time to expect of a job with the declared run time; 0
-// means that none is declared.
+// means that none is declared. A declared run time counts as clock.Longest at most.
 func (h *History) ExpectedRunTime(account, service string, declared clock.Millis) clock.Millis {
 	s, known := h.Services[account+"/"+service]
+	declared = min(declared, clock.Longest)
 	switch {
 	case !known && declared > 0:
 		return declared
