--- a/controller/guarantee_test.go
+++ b/controller/guarantee_test.go
@@ -28,7 +28,7 @@
 
 	// Guards against work beyond the guarantee of its account that nobody can evict.
 	DescribeTable("begins in time, whatever another account has handed in",
-		func(idle int, greedy ...workflow.Spec) {
+		func(greedy ...workflow.Spec) {
 			c := newCluster(1)
 			c.config.Store(guaranteed)
 			i := c.startInstance(nil)
@@ -38,21 +38,21 @@
 				c.storeJob(jobID(10+n), "greedy", urgent, spec)
 				Eventually(func() bool { _, known := i.board.Find(jobID(10 + n)); return known }, shortTimeout).Should(BeTrue())
 			}
-			Eventually(c.workers[0].Running, shortTimeout).Should(Equal(8 - idle))
+			Eventually(c.workers[0].Running, shortTimeout).Should(Equal(8))
 			for n := range 3 {
 				c.storeJob(jobID(20+n), "modest", urgent, workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{tasks(1, 1)}})
 				Eventually(func() int { return len(c.starts(jobID(20+n) + ".0.0.0")) }, reclaimTime).Should(Equal(1))
 			}
 			Consistently(func() int { return len(c.starts(jobID(20) + ".0.0.0")) }, 300*time.Millisecond).Should(Equal(1))
 		},
-		Entry("more tasks than its guarantee", 0, workflow.Spec{Steps: []workflow.Step{tasks(8, 1)}}),
-		Entry("one task, one with more accelerators than can be added up, and many tasks", 0,
+		Entry("more tasks than its guarantee", workflow.Spec{Steps: []workflow.Step{tasks(8, 1)}}),
+		Entry("one task, one with more accelerators than can be added up, and many tasks",
 			workflow.Spec{Steps: []workflow.Step{tasks(1, 1)}}, workflow.Spec{Steps: []workflow.Step{tasks(1, math.MaxInt64)}}, workflow.Spec{Steps: []workflow.Step{tasks(7, 1)}}),
-		Entry("tasks whose accelerators overflow together", 0,
+		Entry("tasks whose accelerators overflow together",
 			workflow.Spec{Steps: []workflow.Step{tasks(2, 1<<62)}}, workflow.Spec{Steps: []workflow.Step{tasks(4, 1<<62)}}, workflow.Spec{Steps: []workflow.Step{tasks(8, 1)}}),
-		Entry("steps beside each other, each within its guarantee", 0, workflow.Spec{Steps: []workflow.Step{tasks(4, 1), tasks(4, 1)}}),
-		Entry("occurrences beside each other, each within its guarantee", 0, workflow.Spec{Occurrences: 2, First: 1, Steps: []workflow.Step{tasks(4, 1)}}),
-		Entry("tasks without accelerators that use all cores", 0, workflow.Spec{Steps: []workflow.Step{{Count: 8, Cores: 8000, Estimate: 60000}}}),
+		Entry("steps beside each other, each within its guarantee", workflow.Spec{Steps: []workflow.Step{tasks(4, 1), tasks(4, 1)}}),
+		Entry("occurrences beside each other, each within its guarantee", workflow.Spec{Occurrences: 2, First: 1, Steps: []workflow.Step{tasks(4, 1)}}),
+		Entry("tasks without accelerators that use all cores", workflow.Spec{Steps: []workflow.Step{{Count: 8, Cores: 8000, Estimate: 60000}}}),
 	)
 })
 
--- a/planner/evict.go
+++ b/planner/evict.go
@@ -24,7 +24,7 @@
 			best, leastCost = victims, cost
 		}
 	}
-	if best == nil || leastCost > u.maxLoss() {
+	if best == nil || leastCost > u.lossLimit() {
 		return false
 	}
 	p.countAsFreeSoon(best, 1)
@@ -41,8 +41,8 @@
 	return true
 }
 
-// maxLoss returns the largest cost in core-seconds of the evictions that the unit may cause.
-func (u *Unit) maxLoss() float64 {
+// lossLimit returns the largest cost in core-seconds of the evictions that the unit may cause.
+func (u *Unit) lossLimit() float64 {
 	if u.Guaranteed {
 		return math.Inf(1)
 	}
@@ -208,7 +208,7 @@
 			c.addFree(n, work.Shape)
 		}
 	}
-	return c.cost <= c.unit.maxLoss()
+	return c.cost <= c.unit.lossLimit()
 }
 
 // addFree adds free resources on a node and lowers missing by the tasks that now fit there.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -321,7 +321,7 @@
 		p.claimSoon(u, nodes)
 		return false
 	}
-	if u.maxLoss() > 0 && p.evictingUnits < maxEvictions && p.evict(u) {
+	if u.lossLimit() > 0 && p.evictingUnits < maxEvictions && p.evict(u) {
 		p.evictingUnits++
 		return false
 	}
