workflow, intake: bound a copy of what is submitted

Cause: Submit bounded the steps of the specification in place, and the steps of a Spec are shared by all its copies. Goroutines that submit the same specification at the same time wrote and read the same steps.

Evidence: the race detector in the spec of intake that submits from many goroutines, limits_test.go.

Change: Bounded returns a specification with steps of its own.

Why it works: nothing that the caller can reach is written any more. go test -race ./intake passes, and a new spec of workflow holds that the steps stay as they are.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -261,7 +261,7 @@
 	if err := spec.Check(); err != nil {
 		return Answer{Verdict: Invalid, Reason: err.Error()}
 	}
-	spec.Bound()
+	spec = spec.Bounded()
 	if view, known := h.opts.Board.Find(g.ID); known {
 		return h.answerDuplicate(g, view.Record, spec, "accepted before")
 	}
--- a/workflow/bounds.go
+++ b/workflow/bounds.go
@@ -1,6 +1,10 @@
 package workflow
 
-import "github.com/chestnutsail/chestnutsail/clock"
+import (
+	"slices"
+
+	"github.com/chestnutsail/chestnutsail/clock"
+)
 
 // The largest figures that make a difference. With them, the sums and products over the steps of a job and over all stored
 // jobs stay within 63 bits.
@@ -14,13 +18,16 @@
 	MaxTime clock.Millis = 253402300799999
 )
 
-// Bound replaces each figure that is negative or above the largest one that makes a difference by the nearest that is
-// not. It changes s and its steps.
-func (s *Spec) Bound() {
-	s.First, s.Interval = within(s.First, MaxTime), within(s.Interval, MaxTime)
-	for i := range s.Steps {
-		s.Steps[i].bound()
+// Bounded returns a copy of s in which each figure that is negative or above the largest one that makes a difference is
+// replaced by the nearest that is not. It doesn't change the steps of s, which other goroutines may read.
+func (s *Spec) Bounded() Spec {
+	bounded := *s
+	bounded.First, bounded.Interval = within(s.First, MaxTime), within(s.Interval, MaxTime)
+	bounded.Steps = slices.Clone(s.Steps)
+	for i := range bounded.Steps {
+		bounded.Steps[i].bound()
 	}
+	return bounded
 }
 
 func (s *Step) bound() {
@@ -39,6 +46,6 @@
 	if err := Decode(raw, r); err != nil {
 		return nil, err
 	}
-	r.Spec.Bound()
+	r.Spec = r.Spec.Bounded()
 	return r, nil
 }
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -73,12 +73,20 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against a race between submissions of the same specification.
+	It("is bounded without a change of the steps that were submitted", func() {
+		s := workflow.Spec{Steps: []workflow.Step{{Count: 1, Estimate: math.MaxInt64}}}
+		bounded := s.Bounded()
+		Expect(bounded.Steps[0].Estimate).To(Equal(workflow.MaxEstimate))
+		Expect(s.Steps[0].Estimate).To(Equal(clock.Millis(math.MaxInt64)))
+	})
+
 	It("starts its occurrences at fixed intervals from its first time if it is periodic", func() {
 		s := workflow.Spec{Steps: []workflow.Step{one}, Occurrences: 3, First: 1000, Interval: 250}
 		Expect(s.OccurrenceCount()).To(Equal(3))
 		Expect(s.EarliestStart(2)).To(Equal(1500 * clock.Millisecond))
 		s.Occurrences, s.First, s.Interval = workflow.MaxOccurrences, math.MaxInt64, math.MaxInt64
-		s.Bound()
+		s = s.Bounded()
 		Expect(s.EarliestStart(workflow.MaxOccurrences - 1)).To(Equal(workflow.MaxOccurrences * workflow.MaxTime))
 		s.Occurrences = 0
 		Expect(s.OccurrenceCount()).To(Equal(1))
