planner, controller: one limit of a loss, and one look for units that can't start

A guaranteed unit's limit is set where a plan copies its units, so that all code reads one field. Which units can't start is found once for a plan, not once for each use. No behaviour changes; the specs are as they were.

--- a/controller/headroom.go
+++ b/controller/headroom.go
@@ -48,9 +48,9 @@
 			demand[snap.input.Nodes[work.Nodes[0]].Service] += len(work.Nodes) * work.Shape.Accels
 		}
 	}
-	for i, unplaceable := range snap.input.Unplaceable() {
+	for i := range snap.input.Units {
 		u := &snap.input.Units[i]
-		if u.Priority == urgentPriority && !u.Hopeless && !unplaceable {
+		if u.Priority == urgentPriority && !u.Hopeless && !snap.unplaceable[i] {
 			demand[u.Service] += u.Count * u.Shape.Accels
 		}
 	}
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -33,6 +33,8 @@
 	runningWorkRuns [][]*run
 	// longestID is the length of the longest ID of a worker.
 	longestID int
+	// unplaceable tells the units that can't start, by planner.Input.Unplaceable.
+	unplaceable []bool
 }
 
 // plan makes a plan and carries it out.
@@ -47,6 +49,7 @@
 	if len(snap.input.Units) == 0 {
 		return
 	}
+	snap.unplaceable = snap.input.Unplaceable()
 	snap.input.Headroom, snap.input.TightSpeed = c.headroom(snap, now), c.tightSpeeds()
 	if now-c.lastStuckCheck >= stuckCheckInterval {
 		c.lastStuckCheck, snap.input.StuckAfter = now, stuckThreshold
--- a/controller/shortage.go
+++ b/controller/shortage.go
@@ -52,10 +52,9 @@
 	for _, s := range starts {
 		starting[s.Unit] = true
 	}
-	unplaceable := snap.input.Unplaceable()
 	for i, p := range snap.unitParts {
 		u := &snap.input.Units[i]
-		if p.past || u.Begun || unplaceable[i] || (u.Slack >= 0 && !starting[i]) {
+		if p.past || u.Begun || snap.unplaceable[i] || (u.Slack >= 0 && !starting[i]) {
 			continue
 		}
 		p.past = true
--- a/planner/evict.go
+++ b/planner/evict.go
@@ -24,7 +24,7 @@
 			best, leastCost = victims, cost
 		}
 	}
-	if best == nil || leastCost > u.lossLimit() {
+	if best == nil || leastCost > u.MaxLoss {
 		return false
 	}
 	p.countAsFreeSoon(best, 1)
@@ -41,14 +41,6 @@
 	return true
 }
 
-// lossLimit returns the largest cost in core-seconds of the evictions that the unit may cause.
-func (u *Unit) lossLimit() float64 {
-	if u.Guaranteed {
-		return math.Inf(1)
-	}
-	return u.MaxLoss
-}
-
 // UrgentTaskWorth is how much work, in core-seconds, may be thrown away so that one urgent task ends
 // in time. At the prices of both sites, that work is worth less than such a task.
 const UrgentTaskWorth = 250
@@ -93,7 +85,7 @@
 // victims selects the running work to evict so that the unit fits on a set of nodes. It returns
 // the indices in Running and their total cost in core-seconds. It selects greedily, by the cost for
 // each additional task. ok is false if nothing has to be evicted, if evictions can't make enough
-// room, or if the selection exceeds what the unit may cause.
+// room, or if the selection exceeds u.MaxLoss.
 func (p *plan) victims(u *Unit, set []int) (chosen []int, cost float64, ok bool) {
 	c := victimSelection{plan: p, unit: u, free: make(map[int]Shape), selected: make(map[int]bool), inSet: make([]bool, len(p.Nodes))}
 	c.missing = p.requiredTasks(u)
@@ -208,7 +200,7 @@
 			c.addFree(n, work.Shape)
 		}
 	}
-	return c.cost <= c.unit.lossLimit()
+	return c.cost <= c.unit.MaxLoss
 }
 
 // addFree adds free resources on a node and lowers missing by the tasks that now fit there.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/chestnutsail/chestnutsail/clock"
@@ -233,6 +234,11 @@
 func newPlan(in Input) *plan {
 	p := &plan{Input: in, byRack: make(map[string][]int), onNode: make([][]int, len(in.Nodes))}
 	p.Nodes, p.Units = slices.Clone(in.Nodes), slices.Clone(in.Units)
+	for i := range p.Units {
+		if p.Units[i].Guaranteed {
+			p.Units[i].MaxLoss = math.Inf(1)
+		}
+	}
 	p.failedFree, p.failedSoon = make(failedPlacements), make(failedPlacements)
 	for i, n := range p.Nodes {
 		p.allNodes = append(p.allNodes, i)
@@ -321,7 +327,7 @@
 		p.claimSoon(u, nodes)
 		return false
 	}
-	if u.lossLimit() > 0 && p.evictingUnits < maxEvictions && p.evict(u) {
+	if u.MaxLoss > 0 && p.evictingUnits < maxEvictions && p.evict(u) {
 		p.evictingUnits++
 		return false
 	}
