--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -134,7 +134,7 @@
 			return first != nil
 		}, shortTimeout).Should(BeTrue())
 		i.setRefused(c.starts(jobID(1) + ".0.0.0")[0].Worker, true)
-		Eventually(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, leaseTimeout).Should(Equal(2))
+		Eventually(c.begun(1), leaseTimeout).Should(Equal(2))
 		Expect(first.Running()).To(BeZero(), "the lease of the first run expires before the second run starts")
 	})
 })
@@ -186,9 +186,9 @@
 		wholeWorker.Accels, wholeWorker.Gang = 8, true
 		for n := range 2 {
 			// Both jobs were recorded for the same accelerators, and neither run was ordered.
-			c.store.Put(board.RecordKey(jobID(n)), workflow.Encode(workflow.Record{
+			c.storeRecord(jobID(n), workflow.Record{
 				Queue: "batch", Policy: workflow.Policy{Service: "svc", Priority: 2, Attempts: 2}, Spec: workflow.Spec{Payload: "ms=1500", Steps: []workflow.Step{wholeWorker}},
-			}))
+			})
 			c.store.Put(board.ProgressKey(jobID(n)), workflow.Encode(workflow.Progress{
 				State: workflow.Running,
 				Parts: []workflow.StepProgress{{Tasks: []workflow.TaskProgress{{Run: 1}}, Places: []workflow.PlacedRun{{Run: 1, Worker: "i-0"}}}},
--- a/controller/draining_test.go
+++ b/controller/draining_test.go
@@ -98,8 +98,8 @@
 			time.Sleep(800 * time.Millisecond) // until the pace of the runs is known
 			c.addWorker("i-9")
 			c.workers[0].Drain(remaining)
-			Eventually(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, shortTimeout).Should(Equal(starts))
-			Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, 500*time.Millisecond).Should(Equal(starts))
+			Eventually(c.begun(1), shortTimeout).Should(Equal(starts))
+			Consistently(c.begun(1), 500*time.Millisecond).Should(Equal(starts))
 		},
 		Entry("a gang that can't finish in time is restarted elsewhere", true, "12000", 4*time.Second, 2),
 		Entry("tasks that can't finish in time are restarted elsewhere", false, "12000", 4*time.Second, 2),
--- a/controller/figures_test.go
+++ b/controller/figures_test.go
@@ -8,20 +8,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chestnutsail/chestnutsail/board"
 	"github.com/chestnutsail/chestnutsail/clock"
-	"github.com/chestnutsail/chestnutsail/site"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
-// storeJob writes the record of an account's job in a queue to the store, as an earlier version may have done: with all figures as the
-// caller sent them.
-func (c *cluster) storeJob(id, account string, q site.Queue, spec workflow.Spec) {
-	c.store.Put(board.RecordKey(id), workflow.Encode(workflow.Record{
-		Queue: q.Name, Account: account, Policy: workflow.PolicyOf(q, 1), AcceptedAt: clock.New().Now(), Token: "t", Spec: spec,
-	}))
-}
-
 // completeUnderestimated completes jobs that take five times as long as declared, and differ in their run times.
 func (i *instance) completeUnderestimated() {
 	GinkgoHelper()
--- a/controller/guarantee_test.go
+++ b/controller/guarantee_test.go
@@ -41,9 +41,9 @@
 			Eventually(c.workers[0].Running, shortTimeout).Should(Equal(8))
 			for n := range 3 {
 				c.storeJob(jobID(20+n), "modest", urgent, workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{tasks(1, 1)}})
-				Eventually(func() int { return len(c.starts(jobID(20+n) + ".0.0.0")) }, reclaimTime).Should(Equal(1))
+				Eventually(c.begun(20+n), reclaimTime).Should(Equal(1))
 			}
-			Consistently(func() int { return len(c.starts(jobID(20) + ".0.0.0")) }, 300*time.Millisecond).Should(Equal(1))
+			Consistently(c.begun(20), 300*time.Millisecond).Should(Equal(1))
 		},
 		Entry("more tasks than its guarantee", workflow.Spec{Steps: []workflow.Step{tasks(8, 1)}}),
 		Entry("one task, one with more accelerators than can be added up, and many tasks",
@@ -67,6 +67,6 @@
 		Eventually(c.workers[0].Running, shortTimeout).Should(Equal(8))
 		time.Sleep(300 * time.Millisecond)
 		c.storeJob(jobID(2), "", queues.Queues[0], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{{Count: 1, Cores: 100, Accels: 1, Estimate: 20}}})
-		Eventually(func() int { return len(c.starts(jobID(2) + ".0.0.0")) }, reclaimTime).Should(Equal(1))
+		Eventually(c.begun(2), reclaimTime).Should(Equal(1))
 	})
 })
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -100,6 +100,24 @@
 	c.workers = append(c.workers, x)
 }
 
+// storeRecord writes the record of a job to the store, as it is.
+func (c *cluster) storeRecord(id string, r workflow.Record) {
+	c.store.Put(board.RecordKey(id), workflow.Encode(r))
+}
+
+// storeJob writes the record of an account's job in a queue to the store, as an earlier version may have done: with all
+// figures as the caller sent them.
+func (c *cluster) storeJob(id, account string, q site.Queue, spec workflow.Spec) {
+	c.storeRecord(id, workflow.Record{
+		Queue: q.Name, Account: account, Policy: workflow.PolicyOf(q, 1), AcceptedAt: clock.New().Now(), Token: "t", Spec: spec,
+	})
+}
+
+// begun returns a function that counts the starts of the first task of a job.
+func (c *cluster) begun(job int) func() int {
+	return func() int { return len(c.starts(jobID(job) + ".0.0.0")) }
+}
+
 // starts returns all starts of a task, worker by worker.
 func (c *cluster) starts(task string) []platformtest.Start {
 	var list []platformtest.Start
--- a/controller/inherited_test.go
+++ b/controller/inherited_test.go
@@ -93,6 +93,6 @@
 		urgent := step(1)
 		urgent.Accels = 1
 		c.storeJob(jobID(2), "", queues.Queues[0], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{urgent}})
-		Eventually(func() int { return len(c.starts(jobID(2) + ".0.0.0")) }, reclaimTime).Should(Equal(1))
+		Eventually(c.begun(2), reclaimTime).Should(Equal(1))
 	})
 })
--- a/controller/late_test.go
+++ b/controller/late_test.go
@@ -107,7 +107,7 @@
 		first.HangCalls(true)
 		time.Sleep(6 * time.Second)
 		first.HangCalls(false)
-		Consistently(func() int { return len(c.starts(jobID(2) + ".0.0.0")) }, 3*time.Second).Should(Equal(1))
+		Consistently(c.begun(2), 3*time.Second).Should(Equal(1))
 	})
 
 	It("is not sent once the lease on the leadership may have ended", func() {
--- a/controller/odd_test.go
+++ b/controller/odd_test.go
@@ -102,7 +102,7 @@
 			time.Sleep(1200 * time.Millisecond) // until the run's pace is known
 			x := c.workers[slices.IndexFunc(c.workers, func(x *platformtest.Worker) bool { return x.Running() > 0 })]
 			c.putEntry(x.ID(), changed)
-			Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, lease.Duration()).Should(Equal(1))
+			Consistently(c.begun(1), lease.Duration()).Should(Equal(1))
 			Expect(x.Running()).To(Equal(1))
 			x.Register("ready")
 			time.Sleep(300 * time.Millisecond) // longer than the interval of the watch
@@ -143,7 +143,7 @@
 		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
 		Eventually(c.running, shortTimeout).Should(Equal(1))
 		c.copyEntry("i-0 ", nil)
-		Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, time.Second).Should(Equal(1))
+		Consistently(c.begun(1), time.Second).Should(Equal(1))
 		Expect(c.running()).To(Equal(1))
 	})
 
@@ -154,7 +154,7 @@
 			i := c.startInstance(nil)
 			Eventually(i.isLeader, shortTimeout).Should(BeTrue())
 			i.submit(jobID(1), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{{Count: 1, Estimate: 20}}})
-			Consistently(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, time.Second).Should(BeZero())
+			Consistently(c.begun(1), time.Second).Should(BeZero())
 			c.workers[0].Register("ready")
 			Eventually(func() workflow.State { return i.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Completed))
 		},
--- a/controller/overdue_test.go
+++ b/controller/overdue_test.go
@@ -28,7 +28,7 @@
 			long := step(1)
 			long.Accels, long.Estimate, long.DataRack = 8, clock.Minute, fmt.Sprint("r-", n)
 			i.submit(jobID(100+n), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{long}})
-			Eventually(func() int { return len(c.starts(jobID(100+n) + ".0.0.0")) }, shortTimeout).Should(Equal(1))
+			Eventually(c.begun(100+n), shortTimeout).Should(Equal(1))
 		}
 		return c, i
 	}
@@ -87,6 +87,6 @@
 			Eventually(func() workflow.State { return i.state(jobID(10 + n)) }, 2*leaseTimeout).Should(Equal(workflow.Failed))
 		}
 		i.submit(jobID(1), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{step(1)}})
-		Eventually(func() int { return len(c.starts(jobID(1) + ".0.0.0")) }, 3*time.Second).Should(Equal(1))
+		Eventually(c.begun(1), 3*time.Second).Should(Equal(1))
 	})
 })
--- a/controller/policies_test.go
+++ b/controller/policies_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/chestnutsail/chestnutsail/board"
 	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
 	"github.com/chestnutsail/chestnutsail/site"
@@ -93,10 +92,10 @@
 	It("is followed for the jobs that were accepted by it, also by a leader that does not know it yet", func() {
 		c := newCluster(1)
 		c.addWorkerOf("other", "i-1")
-		c.store.Put(board.RecordKey(jobID(1)), workflow.Encode(workflow.Record{
+		c.storeRecord(jobID(1), workflow.Record{
 			Queue: "batch", Policy: workflow.Policy{Version: queues.Version + 1, Service: "other", Attempts: 2},
 			Spec: workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{step(1)}},
-		}))
+		})
 		i := c.startInstance(nil)
 		Eventually(func() workflow.State { return i.state(jobID(1)) }, shortTimeout).Should(Equal(workflow.Completed))
 		Expect(c.workers[0].Starts()).To(BeEmpty())
--- a/controller/reborn_test.go
+++ b/controller/reborn_test.go
@@ -43,7 +43,7 @@
 			i.submit(jobID(3), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{spec}})
 			Consistently(func() int { return len(w.Starts()) }, time.Second).Should(Equal(before))
 			w.Register("ready")
-			Consistently(func() int { return len(c.starts(jobID(3) + ".0.0.0")) }, 500*time.Millisecond).Should(BeZero())
+			Consistently(c.begun(3), 500*time.Millisecond).Should(BeZero())
 		},
 		Entry("if its label differs", func(o *platformtest.WorkerOptions) { o.Kind = "small" }, needsBig),
 		Entry("if its service differs", func(o *platformtest.WorkerOptions) { o.Service = "other" }, step(1)),
@@ -66,7 +66,7 @@
 		next := c.startInstance(nil)
 		Eventually(next.isLeader, shortTimeout).Should(BeTrue())
 		next.submit(jobID(3), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{needsBig}})
-		Consistently(func() int { return len(c.starts(jobID(3) + ".0.0.0")) }, time.Second).Should(BeZero())
+		Consistently(c.begun(3), time.Second).Should(BeZero())
 		c.startWorker(platformtest.WorkerOptions{ID: "i-9", Kind: "big"})
 		Eventually(func() workflow.State { return next.state(jobID(3)) }, shortTimeout).Should(Equal(workflow.Completed))
 		Expect(w.Starts()).To(HaveLen(1))
@@ -83,7 +83,7 @@
 		w.RestartAs(func(o *platformtest.WorkerOptions) { o.Kind = "small" })
 		Eventually(func() int { return i.logged("controller: worker has restarted") }, shortTimeout).Should(Equal(1))
 		w.DelayStarts(0, 0)
-		Consistently(func() int { return len(c.starts(jobID(3) + ".0.0.0")) }, time.Second).Should(BeZero())
+		Consistently(c.begun(3), time.Second).Should(BeZero())
 		c.startWorker(platformtest.WorkerOptions{ID: "i-9", Kind: "big"})
 		Eventually(func() workflow.State { return i.state(jobID(3)) }, leaseTimeout).Should(Equal(workflow.Completed))
 	})
--- a/controller/recordsize_test.go
+++ b/controller/recordsize_test.go
@@ -103,7 +103,7 @@
 		for n := range 40 {
 			progress.Tasks = append(progress.Tasks, workflow.TaskProgress{Index: n, Run: 1, Checkpoint: strings.Repeat("c", 300)})
 		}
-		c.store.Put(board.RecordKey(jobID(1)), workflow.Encode(workflow.Record{Queue: "batch", Policy: workflow.Policy{Service: "svc", Attempts: 2}, Spec: spec}))
+		c.storeRecord(jobID(1), workflow.Record{Queue: "batch", Policy: workflow.Policy{Service: "svc", Attempts: 2}, Spec: spec})
 		c.store.Put(board.ProgressKey(jobID(1)), workflow.Encode(workflow.Progress{State: workflow.Running, Parts: []workflow.StepProgress{progress}}))
 		c.store.SetMaxValue(maxValue)
 		i := c.startInstance(nil)
--- a/controller/shortage_test.go
+++ b/controller/shortage_test.go
@@ -22,20 +22,17 @@
 			s.PerWorker, s.Estimate = 0, runTime
 			return workflow.Spec{Payload: fmt.Sprintf("ms=%d", runTime), Steps: []workflow.Step{s}}
 		}
-		started := func(job int) func() int {
-			return func() int { return len(c.starts(jobID(job) + ".0.0.0")) }
-		}
 		i.submit(jobID(1), jobOf(8, 600*clock.Millisecond))
-		Eventually(started(1), shortTimeout).Should(Equal(1))
+		Eventually(c.begun(1), shortTimeout).Should(Equal(1))
 		for job, tasks := range []int{2: 8, 3: 4, 4: 4} {
 			if tasks > 0 {
 				i.submit(jobID(job), jobOf(tasks, clock.Second))
 			}
 		}
-		Eventually(started(3), shortTimeout).Should(Equal(1))
-		Eventually(started(4), shortTimeout).Should(Equal(1))
-		Expect(started(2)()).To(BeZero())
-		Eventually(started(2), shortTimeout).Should(Equal(1))
+		Eventually(c.begun(3), shortTimeout).Should(Equal(1))
+		Eventually(c.begun(4), shortTimeout).Should(Equal(1))
+		Expect(c.begun(2)()).To(BeZero())
+		Eventually(c.begun(2), shortTimeout).Should(Equal(1))
 		var deferred []any
 		for _, e := range i.logs.AllEntries() {
 			if e.Message == "controller: tasks are deferred, since there is too little room" {
--- a/controller/stall_test.go
+++ b/controller/stall_test.go
@@ -22,7 +22,7 @@
 		long := step(1)
 		long.Estimate = runTime
 		i.submit(jobID(1), workflow.Spec{Payload: fmt.Sprintf("ms=%d", runTime), Steps: []workflow.Step{long}})
-		starts := func() int { return len(c.starts(jobID(1) + ".0.0.0")) }
+		starts := c.begun(1)
 		Eventually(starts, shortTimeout).Should(Equal(1))
 		Consistently(starts, 5*time.Second, 100*time.Millisecond).Should(Equal(1))
 	})
--- a/controller/unanswered_test.go
+++ b/controller/unanswered_test.go
@@ -34,7 +34,7 @@
 	// order may have been sent until the given time.
 	takeOver := func(copiesUntil time.Time) *cluster {
 		c := newClusterWithLease(1, shortLease)
-		c.store.Put(board.RecordKey(jobID(2)), workflow.Encode(workflow.Record{Queue: "batch", Policy: workflow.Policy{Service: "svc", Priority: 2, Attempts: 2}, Spec: long}))
+		c.storeRecord(jobID(2), workflow.Record{Queue: "batch", Policy: workflow.Policy{Service: "svc", Priority: 2, Attempts: 2}, Spec: long})
 		c.store.Put(board.ProgressKey(jobID(2)), workflow.Encode(workflow.Progress{State: workflow.Queued, Parts: []workflow.StepProgress{{
 			Tasks: []workflow.TaskProgress{{Run: 1}}, Places: []workflow.PlacedRun{{Run: 1, Worker: "i-8"}},
 			Unanswered: map[int]clock.Millis{0: clock.Millis(copiesUntil.UnixMilli())},
--- a/controller/unplaceable_test.go
+++ b/controller/unplaceable_test.go
@@ -27,7 +27,7 @@
 		c.storeJob(jobID(1), "", queues.Queues[0], workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{odd}})
 		time.Sleep(time.Second)
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=20", Steps: []workflow.Step{whole(20)}})
-		Eventually(func() int { return len(c.starts(jobID(2) + ".0.0.0")) }, time.Second).Should(Equal(1))
+		Eventually(c.begun(2), time.Second).Should(Equal(1))
 	})
 
 	// Guards against an account that is served first because jobs of its that never start count as late.
@@ -37,15 +37,12 @@
 		i := c.startInstance(nil)
 		Eventually(i.isLeader, shortTimeout).Should(BeTrue())
 		batch := queues.Queues[1]
-		started := func(job int) func() int {
-			return func() int { return len(c.starts(jobID(job) + ".0.0.0")) }
-		}
 		store := func(job int, account string, estimate clock.Millis) {
 			c.storeJob(jobID(job), account, batch, workflow.Spec{Payload: fmt.Sprintf("ms=%d", min(estimate, 600)), Steps: []workflow.Step{whole(estimate)}})
 		}
 		for job := range 4 {
 			store(10+job, "modest", 20)
-			Eventually(started(10+job), shortTimeout).Should(Equal(1))
+			Eventually(c.begun(10+job), shortTimeout).Should(Equal(1))
 		}
 		for job := range 4 {
 			odd := whole(20)
@@ -54,11 +51,11 @@
 		}
 		time.Sleep(time.Second)
 		store(1, "modest", 600)
-		Eventually(started(1), shortTimeout).Should(Equal(1))
+		Eventually(c.begun(1), shortTimeout).Should(Equal(1))
 		store(2, "modest", 5000)
 		store(3, "greedy", 5001)
-		Eventually(started(2), shortTimeout).Should(Equal(1))
-		Expect(started(3)()).To(BeZero())
-		Eventually(started(3), shortTimeout).Should(Equal(1))
+		Eventually(c.begun(2), shortTimeout).Should(Equal(1))
+		Expect(c.begun(3)()).To(BeZero())
+		Eventually(c.begun(3), shortTimeout).Should(Equal(1))
 	})
 })
--- a/controller/waits_test.go
+++ b/controller/waits_test.go
@@ -83,7 +83,7 @@
 			holder := step(1)
 			holder.Accels, holder.Estimate, holder.DataRack = 8, clock.Minute, fmt.Sprint("r-", n)
 			i.submit(jobID(100+n), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{holder}})
-			Eventually(func() int { return len(c.starts(jobID(100+n) + ".0.0.0")) }, shortTimeout).Should(Equal(1))
+			Eventually(c.begun(100+n), shortTimeout).Should(Equal(1))
 		}
 		first, gang := step(1), step(3)
 		first.Accels = 0
