intake, platform, relay: log the configuration of refusals and of handed-on calls

The logs named no configuration for a call that was refused ("config":0), although OPERATIONS says that they do, and none for a call that another instance carried out. So they could not tell whether an instance went back to an older configuration because it put one into force, or because a call took effect by a newer one at another instance.

A refusal now has the version that it goes by, an answer of another instance the version that this one knows, and an instance that carries a call out for a sender with an older configuration says so. Gauges tell the version in force, the highest one told by others, and the age.

--- a/fleet/operator.go
+++ b/fleet/operator.go
@@ -24,6 +24,9 @@
 		})
 	}
 	i.configMirror = mirror.New(opts)
+	i.counters.Gauge("chestnutsail_config_version", func() float64 { return float64(i.config.Load().Version) })
+	i.counters.Gauge("chestnutsail_config_known_version", func() float64 { return float64(i.configVersion()) })
+	i.counters.Gauge("chestnutsail_config_age_seconds", func() float64 { return float64(i.configMirror.Age()) / float64(clock.Second) })
 }
 
 // maxEvacuationAge returns the greatest age in milliseconds at which the requests to evacuate failure domains
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -85,7 +85,7 @@
 	ID string
 	// Body is the largest allowed size of the request body in bytes.
 	Body int
-	// Version is the version of the configuration that allowed the call.
+	// Version is the version of the configuration by which the call was allowed or refused.
 	Version int64
 }
 
@@ -221,7 +221,7 @@
 }
 
 // Admit matches a call to a queue and checks its API key. The answer is nil if the call is
-// allowed.
+// allowed. Of a refused call, the grant holds only the version of the configuration.
 func (h *Handler) Admit(c Call) (Grant, *Answer) {
 	cfg := h.opts.Config()
 	if cfg == nil || cfg.Version == 0 {
@@ -229,21 +229,21 @@
 	}
 	queue, ok := cfg.Match(c.Host, c.Path)
 	if !ok {
-		return Grant{}, &Answer{Verdict: NoQueue, Reason: "no queue at this address", Outdated: !h.opts.Reachable()}
+		return Grant{Version: cfg.Version}, &Answer{Verdict: NoQueue, Reason: "no queue at this address", Outdated: !h.opts.Reachable()}
 	}
 	if !queue.Public && h.opts.KeysOutdated() {
-		return Grant{}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "the configuration is too old to accept keys by"}
+		return Grant{Version: cfg.Version}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "the configuration is too old to accept keys by"}
 	}
 	account, ok := cfg.ByKey(c.Key)
 	if !ok && !queue.Public {
-		return Grant{}, &Answer{Verdict: NoKey, Reason: "unknown key", Outdated: !h.opts.Reachable()}
+		return Grant{Version: cfg.Version}, &Answer{Verdict: NoKey, Reason: "unknown key", Outdated: !h.opts.Reachable()}
 	}
 	g := Grant{Queue: queue, Account: account, ID: c.Path[len(queue.Prefix):], Body: cfg.Limits.Body, Version: cfg.Version}
 	if g.Body <= 0 {
 		g.Body = defaultMaxBody
 	}
 	if g.ID != "" && !isID(g.ID) {
-		return Grant{}, &Answer{Verdict: Invalid, Reason: "the ID is not 16 hexadecimal digits"}
+		return Grant{Version: cfg.Version}, &Answer{Verdict: Invalid, Reason: "the ID is not 16 hexadecimal digits"}
 	}
 	return g, nil
 }
--- a/relay/config.go
+++ b/relay/config.go
@@ -53,6 +53,11 @@
 			return
 		}
 		w.Header().Set(versionHeader, strconv.FormatInt(version, 10))
+		if known := versionOf(r.Header); version > known {
+			opts.Log.WithFields(logrus.Fields{
+				"verb": r.Method, "path": r.URL.Path, "sender": r.RemoteAddr, "sender_config": known, "config": version,
+			}).Info("relay: carrying out a call of an instance that knows an older configuration")
+		}
 		opts.Calls.ServeHTTP(w, r)
 	})))
 	return mux
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,8 +79,10 @@
 
 // Answer is the outcome of a call. The other fields are set if it was answered.
 type Answer struct {
-	Outcome    Outcome
-	Peer       string
+	Outcome Outcome
+	Peer    string
+	// Config is the version of the configuration that the instance knows.
+	Config     int64
 	Status     int
 	RetryAfter string
 	Body       []byte
@@ -209,7 +211,7 @@
 		return Answer{Outcome: Unsure}
 	}
 	r.adoptNewer(ctx, peer, resp.Header)
-	return Answer{Outcome: Answered, Peer: peer, Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Body: body}
+	return Answer{Outcome: Answered, Peer: peer, Config: versionOf(resp.Header), Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Body: body}
 }
 
 // failed handles a call that got no whole answer. Only a connection that could not be opened shows
