controller: log jobs of a newer configuration than the leader knows

The leader goes by the newest policy that it knows, also by one that stands in a job's record. Nothing told whether it then acted by a configuration that it did not have yet, while it answered callers by an older one.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -76,6 +76,7 @@
 	if j.cancelled && !j.state.Final() {
 		c.cancelJob(j)
 	}
+	c.reportNewerPolicy(j)
 	if c.workersListed && !j.state.Final() {
 		c.adoptPolicy(j, c.opts.Config())
 	}
--- a/controller/policies.go
+++ b/controller/policies.go
@@ -52,6 +52,14 @@
 	return true
 }
 
+// reportNewerPolicy reports a job whose policy is from a newer configuration than the one that is known here.
+func (c *Controller) reportNewerPolicy(j *job) {
+	if known := c.opts.Config().Version; j.policy.Version > known {
+		c.opts.Log.WithFields(logrus.Fields{"job": j.id, "queue": j.record.Queue, "version": j.policy.Version, "config": known}).
+			Info("controller: job goes by a newer configuration than is known here")
+	}
+}
+
 // failIfExhausted fails a job if a task that is not done, or its gang, has failed as often as the queue allows.
 func (c *Controller) failIfExhausted(j *job) {
 	for _, p := range j.allParts() {
