--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -34,17 +34,21 @@
 	knowsOlder   behaviour = "knows an older configuration"
 	refusesNoKey behaviour = "answers 401"
 	refusesFull  behaviour = "answers 429"
+	changesToo   behaviour = "gets a newer configuration meanwhile"
 )
 
-// peer is another instance. ran counts the calls that it carried out, asked all calls.
+// peer is another instance. asked counts the calls that it got, ran those that it carried out, and ahead
+// those for which the sender did not know its configuration.
 type peer struct {
-	address    string
-	ran, asked atomic.Int64
+	address           string
+	asked, ran, ahead atomic.Int64
+	version           atomic.Int64
 }
 
 const ownVersion, newVersion = 5, 7
 
-func newPeer(b behaviour) *peer {
+// newPeer returns a peer. senderVersion returns the version of the configuration that the sender knows.
+func newPeer(b behaviour, senderVersion func() int64) *peer {
 	p := &peer{}
 	if b == isGone {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -53,13 +57,19 @@
 		Expect(listener.Close()).To(Succeed())
 		return p
 	}
-	version := int64(newVersion)
-	if b == knowsOlder {
-		version = ownVersion - 1
+	p.version.Store(newVersion)
+	switch b {
+	case knowsOlder:
+		p.version.Store(ownVersion - 1)
+	case changesToo:
+		p.version.Store(ownVersion)
 	}
 	released := make(chan struct{})
 	calls := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.asked.Add(1)
+		if p.version.Load() > senderVersion() {
+			p.ahead.Add(1)
+		}
 		switch b {
 		case refuses:
 			http.Error(w, "busy", http.StatusServiceUnavailable)
@@ -76,11 +86,12 @@
 			panic(http.ErrAbortHandler)
 		default:
 			p.ran.Add(1)
+			p.version.Store(max(p.version.Load(), newVersion))
 			_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.Host, r.URL.Path)
 		}
 	})
 	server := httptest.NewServer(relay.NewHandler(relay.HandlerOptions{
-		Calls: calls, Config: func() (int64, []byte) { return version, []byte("configuration") },
+		Calls: calls, Config: func() (int64, []byte) { return p.version.Load(), []byte("configuration") },
 		Log: logrus.NewEntry(logrus.New()),
 	}))
 	DeferCleanup(func() {
@@ -96,12 +107,14 @@
 	*relay.Relay
 	peers   []*peer
 	adopted []string
+	version atomic.Int64
 }
 
 func newRelay(behaviours ...behaviour) *handOn {
 	h := &handOn{}
+	h.version.Store(ownVersion)
 	for _, b := range behaviours {
-		h.peers = append(h.peers, newPeer(b))
+		h.peers = append(h.peers, newPeer(b, h.version.Load))
 	}
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
@@ -113,9 +126,12 @@
 			}
 			return list
 		},
-		Version: func() int64 { return ownVersion },
-		Adopt:   func(version int64, raw []byte) { h.adopted = append(h.adopted, fmt.Sprintf("%d %s", version, raw)) },
-		Client:  &http.Client{}, Log: logrus.NewEntry(log),
+		Version: h.version.Load,
+		Adopt: func(version int64, raw []byte) {
+			h.adopted = append(h.adopted, fmt.Sprintf("%d %s", version, raw))
+			h.version.Store(version)
+		},
+		Client: &http.Client{}, Log: logrus.NewEntry(log),
 	})
 	return h
 }
@@ -157,6 +173,28 @@
 		Expect(h.adopted).To(Equal([]string{"7 configuration"}))
 	})
 
+	// Guards against a sender that answers by an older configuration than the one by which its call took effect.
+	DescribeTable("takes effect only by a configuration that this instance knows, if a peer",
+		func(b behaviour) {
+			h := newRelay(b)
+			h.send()
+			Expect(h.peers[0].asked.Load()).To(BeEquivalentTo(1))
+			Expect(h.peers[0].ahead.Load()).To(BeZero())
+			Expect(h.adopted).To(Equal([]string{"7 configuration"}))
+		},
+		Entry("carries it out", carriesOut),
+		Entry("loses the answer", losesAnswer),
+		Entry("is unsure", isUnsure),
+		Entry("refuses it", refuses),
+		Entry("answers that the key is unknown", refusesNoKey),
+	)
+
+	It("brings the configuration that came into force at the peer meanwhile", func() {
+		h := newRelay(changesToo)
+		Expect(h.send().Status).To(Equal(http.StatusOK))
+		Expect(h.adopted).To(Equal([]string{"7 configuration"}))
+	})
+
 	It("is not refused by a peer if it may have been carried out before", func() {
 		c := relay.Call{Method: "POST", Path: "/q/1", Host: "h.example", Open: true}
 		Expect(newRelay(refusesNoKey).Send(context.Background(), c).Outcome).To(Equal(relay.Unsure))
