relay: have calls take effect only by a configuration that their sender knows

What callers saw: an instance that alone had lost the store went back to an older configuration: a job had started through it in a queue that was just added, and the same instance then said 404 for that queue, or 401 for the key.

Cause: an instance that was handed a call carried it out by its own, newer configuration, and named the version only in its answer. If the answer was late (the sender waits 400 ms, a slow store takes that long), lost, or a 504, the call had its effect and the sender never learned of the version. It learned late if the configuration could not be read at once, up to 1 s, and not at all if the newer one came into force while the call was carried out, since the version was noted before.

Why this works: a call takes effect only by the version that it names, so what happens is never ahead of what the sender knows, whatever becomes of the answer. A receiver that knows a newer one refuses the call before it is carried out; the sender adopts that configuration first and hands the call on again. The version of an answer is the one at the time of writing.

During an upgrade, an instance of the former build that is behind and without the store is refused until it is up to date.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -150,7 +150,7 @@
 func (i *Instance) startServers() error {
 	s := i.opts.Settings
 	callerOptions := platform.JobHandlerOptions{Jobs: i.intakeHandler, OnAnswer: i.recordAnswer, Clock: i.clock, Log: i.opts.Log}
-	peers := relay.NewHandler(relay.HandlerOptions{Calls: platform.NewJobHandler(callerOptions), Config: i.latestConfig, Log: i.opts.Log})
+	peers := i.newPeerHandler(callerOptions)
 	callerOptions.Relay = relay.New(relay.Options{
 		Peers: i.roster.Peers, Version: i.configVersion, Adopt: i.adoptConfig,
 		Client: platform.NewPeerClient(), Clock: i.clock, Log: i.opts.Log,
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +13,7 @@
 	"github.com/chestnutsail/chestnutsail/heartbeat"
 	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/platform"
+	"github.com/chestnutsail/chestnutsail/relay"
 	"github.com/chestnutsail/chestnutsail/site"
 )
 
@@ -46,6 +48,22 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.Ports[0]))
 }
 
+// newPeerHandler returns the handler for calls that other instances hand on.
+func (i *Instance) newPeerHandler(callerOptions platform.JobHandlerOptions) http.Handler {
+	return relay.NewHandler(relay.HandlerOptions{
+		Calls: func(version int64) http.Handler {
+			callerOptions := callerOptions
+			callerOptions.Config = version
+			return platform.NewJobHandler(callerOptions)
+		},
+		Config: i.latestConfig,
+		OnRefused: func(reason relay.Refusal) {
+			i.counters.Counter(`chestnutsail_relay_refused_total{reason="` + string(reason) + `"}`).Inc()
+		},
+		Log: i.opts.Log,
+	})
+}
+
 // usableConfig returns the configuration by which calls are answered. It is empty while another
 // instance is known to have a newer one: answering by the older one would go back.
 func (i *Instance) usableConfig() *site.Config {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -75,6 +75,9 @@
 	Host string
 	Path string
 	Key  string
+	// Config is the version of the configuration by which the call has to be answered; 0 means
+	// the one in force.
+	Config int64
 }
 
 // Grant describes a call that is allowed.
@@ -227,6 +230,9 @@
 	if cfg == nil || cfg.Version == 0 {
 		return Grant{}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "no configuration yet"}
 	}
+	if c.Config != 0 && c.Config != cfg.Version {
+		return Grant{Version: cfg.Version}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "another configuration is in force"}
+	}
 	queue, ok := cfg.Match(c.Host, c.Path)
 	if !ok {
 		return Grant{Version: cfg.Version}, &Answer{Verdict: NoQueue, Reason: "no queue at this address", Outdated: !h.opts.Reachable()}
--- a/relay/config.go
+++ b/relay/config.go
@@ -27,16 +27,31 @@
 
 // HandlerOptions configures a handler. All fields are required.
 type HandlerOptions struct {
-	// Calls carries out the calls of callers. It must not hand them on again.
-	Calls http.Handler
+	// Calls returns the handler that carries out the calls of callers by the given version of the
+	// configuration, and refuses them with 503 if another one is in force. It must not hand them on again.
+	Calls func(version int64) http.Handler
 	// Config returns the configuration that this instance knows, as the store holds it, and its
 	// version.
 	Config func() (version int64, raw []byte)
-	Log    *logrus.Entry
+	// OnRefused is called for each call that is refused because the two instances know different
+	// configurations.
+	OnRefused func(Refusal)
+	Log       *logrus.Entry
 }
 
-// NewHandler returns the handler for the calls of other instances. It refuses calls from an instance
-// that knows a newer configuration.
+// Refusal is the reason for which an instance refuses a call that was handed on.
+type Refusal string
+
+// The reasons of a refusal.
+const (
+	// SenderBehind means that the sender knows only an older configuration.
+	SenderBehind Refusal = "sender behind"
+	// ReceiverBehind means that the receiver knows only an older configuration, or none.
+	ReceiverBehind Refusal = "receiver behind"
+)
+
+// NewHandler returns the handler for the calls of other instances. It refuses calls of an instance that
+// knows another configuration than this one.
 func NewHandler(opts HandlerOptions) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -47,22 +62,52 @@
 		}
 	})
 	mux.Handle(callsPath+"/", http.StripPrefix(callsPath, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		versioned := &versionWriter{ResponseWriter: w, config: opts.Config}
 		version, _ := opts.Config()
-		if version < versionOf(r.Header) {
-			http.Error(w, "this instance knows only an older configuration", http.StatusServiceUnavailable)
+		known := versionOf(r.Header)
+		if version == known && version != 0 {
+			opts.Calls(version).ServeHTTP(versioned, r)
 			return
 		}
-		w.Header().Set(versionHeader, strconv.FormatInt(version, 10))
-		if known := versionOf(r.Header); version > known {
-			opts.Log.WithFields(logrus.Fields{
-				"verb": r.Method, "path": r.URL.Path, "sender": r.RemoteAddr, "sender_config": known, "config": version,
-			}).Info("relay: carrying out a call of an instance that knows an older configuration")
+		refusal := ReceiverBehind
+		if version > known {
+			refusal = SenderBehind
 		}
-		opts.Calls.ServeHTTP(w, r)
+		opts.OnRefused(refusal)
+		opts.Log.WithFields(logrus.Fields{
+			"verb": r.Method, "path": r.URL.Path, "sender": r.RemoteAddr, "sender_config": known, "config": version, "reason": string(refusal),
+		}).Info("relay: call refused, since the sender knows another configuration")
+		http.Error(versioned, "this instance knows another configuration", http.StatusServiceUnavailable)
 	})))
 	return mux
 }
 
+// versionWriter adds the version of the configuration that is known when the answer is written. A
+// configuration may come into force while a call is carried out.
+type versionWriter struct {
+	http.ResponseWriter
+	config  func() (version int64, raw []byte)
+	written bool
+}
+
+// WriteHeader adds the version to the header and writes it.
+func (w *versionWriter) WriteHeader(status int) {
+	if !w.written {
+		w.written = true
+		version, _ := w.config()
+		w.Header().Set(versionHeader, strconv.FormatInt(version, 10))
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body, after the header.
+func (w *versionWriter) Write(body []byte) (int, error) {
+	if !w.written {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(body)
+}
+
 // versionOf returns the version of the configuration in a header, or 0 if there is none.
 func versionOf(h http.Header) int64 {
 	version, err := strconv.ParseInt(h.Get(versionHeader), 10, 64)
@@ -72,18 +117,19 @@
 	return version
 }
 
-// adoptNewer adopts the configuration of an instance if it is newer than the one known here. The
-// header is that of the instance's answer.
-func (r *Relay) adoptNewer(ctx context.Context, peer string, header http.Header) {
+// adoptNewer adopts the configuration of an instance, and reports whether it is newer than the one known
+// here. The header is that of the instance's answer.
+func (r *Relay) adoptNewer(ctx context.Context, peer string, header http.Header) bool {
 	version := versionOf(header)
 	if version <= r.opts.Version() {
-		return
+		return false
 	}
 	raw, err := r.readConfig(ctx, peer)
 	if err != nil {
 		r.opts.Log.WithError(err).WithField("peer", peer).Info("relay: newer configuration not read")
 	}
 	r.opts.Adopt(version, raw)
+	return true
 }
 
 func (r *Relay) readConfig(ctx context.Context, peer string) ([]byte, error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,17 +2,20 @@
 // An instance that has lost the store can't accept jobs, but another one often can: the store may
 // turn away some instances only, or a part of the network may have failed.
 //
-// Calls are handed on together with the version of the configuration that the instance knows, and
-// answered with the version of the one that carried them out. So an instance never answers by an
-// older configuration than its caller has seen, and learns of a new one while the store is away.
+// Calls are handed on together with the version of the configuration that the sender knows, and an
+// instance carries them out by that version only. One that knows a newer configuration refuses the call and
+// names its version. The sender then adopts that configuration and hands the call on again. So no call
+// takes effect by a configuration that its sender doesn't know, also if the answer is lost, and an instance
+// never answers by an older configuration than a call through it has taken effect by. It also learns of new
+// configurations that way while the store is away.
 //
-// A call is handed on at most maxTries times, each time to another instance. An instance that does not answer or can't carry out
-// calls either is skipped for a while, so that a call is refused at once while no instance can
-// carry it out.
+// A call is handed on to at most maxTries instances, to each of them again only after its configuration was
+// adopted. An instance that does not answer or can't carry out calls either is skipped for a while, so that a
+// call is refused at once while no instance can carry it out.
 //
 // # Usage
 //
-//	http.Serve(listener, relay.NewHandler(relay.HandlerOptions{Calls: callers, Config: config, Log: log}))
+//	http.Serve(listener, relay.NewHandler(relay.HandlerOptions{Calls: callersBy, Config: config, OnRefused: count, Log: log}))
 //	r := relay.New(relay.Options{Peers: roster.Peers, Client: client, Version: version, Adopt: adopt, Log: log})
 //	answer := r.Send(ctx, relay.Call{Method: "POST", Path: "/wipe/5c0e7a21d94b36f8", Host: "h", Header: header, Body: body})
 //	switch answer.Outcome {
@@ -41,6 +44,8 @@
 const (
 	// maxTries is the largest number of instances that are asked for one call.
 	maxTries = 3
+	// maxAdoptions is how often the configuration of one instance is adopted for one call.
+	maxAdoptions = 2
 	// tryTimeout is the timeout of one of them. A slow store takes a quarter of a second for a
 	// write; connections that have gone silent must not hold the caller up for long.
 	tryTimeout = 400 * clock.Millisecond
@@ -96,8 +101,8 @@
 	Peers func() []string
 	// Version returns the version of the configuration that this instance knows.
 	Version func() int64
-	// Adopt is called with the newer configuration of an instance that has carried out a call,
-	// or with nil if it could not be read, and with its version.
+	// Adopt is called with the newer configuration of an instance that was asked, or with nil if it
+	// could not be read, and with its version.
 	Adopt func(version int64, raw []byte)
 	// Client makes the calls. Its time to open a connection should be short, since a caller
 	// waits meanwhile.
@@ -176,14 +181,27 @@
 	r.restUntil[peer] = r.opts.Clock.Now() + duration
 }
 
-// try hands a call to one instance.
+// try hands a call to one instance, and again if it was refused and that instance knows a newer
+// configuration.
 func (r *Relay) try(ctx context.Context, peer string, c Call) Answer {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout.Duration())
+	for range maxAdoptions {
+		answer, adopted := r.tryOnce(ctx, peer, c)
+		if !adopted || answer.Outcome != NotRun {
+			return answer
+		}
+	}
+	answer, _ := r.tryOnce(ctx, peer, c)
+	return answer
+}
+
+// tryOnce hands a call to one instance once. It reports whether the instance's configuration was adopted.
+func (r *Relay) tryOnce(ctx context.Context, peer string, c Call) (answer Answer, adopted bool) {
+	tryCtx, cancel := context.WithTimeout(ctx, tryTimeout.Duration())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+peer+callsPath+c.Path, bytes.NewReader(c.Body))
+	req, err := http.NewRequestWithContext(tryCtx, c.Method, "http://"+peer+callsPath+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		r.opts.Log.WithError(err).WithField("path", c.Path).Error("relay: the call can't be handed on")
-		return Answer{Outcome: NotRun}
+		return Answer{Outcome: NotRun}, false
 	}
 	req.Host = c.Host
 	if c.Header != nil {
@@ -192,26 +210,31 @@
 	req.Header.Set(versionHeader, strconv.FormatInt(r.opts.Version(), 10))
 	resp, err := r.opts.Client.Do(req)
 	if err != nil {
-		return r.failed(peer, err)
+		return r.failed(peer, err), false
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
 	if err != nil {
-		return r.failed(peer, err)
+		return r.failed(peer, err), false
 	}
+	adopted = r.adoptNewer(ctx, peer, resp.Header)
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests:
 		// This is about the call's account. The instance may carry out the calls of others.
-		return Answer{Outcome: NotRun}
+		return Answer{Outcome: NotRun}, adopted
 	case http.StatusServiceUnavailable:
-		r.rest(peer, busyRest)
-		return Answer{Outcome: NotRun}
+		if !adopted {
+			r.rest(peer, busyRest)
+		}
+		return Answer{Outcome: NotRun}, adopted
 	case http.StatusGatewayTimeout:
 		r.rest(peer, busyRest)
-		return Answer{Outcome: Unsure}
+		return Answer{Outcome: Unsure}, adopted
 	}
-	r.adoptNewer(ctx, peer, resp.Header)
-	return Answer{Outcome: Answered, Peer: peer, Config: versionOf(resp.Header), Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Body: body}
+	return Answer{
+		Outcome: Answered, Peer: peer, Config: versionOf(resp.Header), Status: resp.StatusCode,
+		RetryAfter: resp.Header.Get("Retry-After"), Body: body,
+	}, adopted
 }
 
 // failed handles a call that got no whole answer. Only a connection that could not be opened shows
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -91,8 +91,10 @@
 		}
 	})
 	server := httptest.NewServer(relay.NewHandler(relay.HandlerOptions{
-		Calls: calls, Config: func() (int64, []byte) { return p.version.Load(), []byte("configuration") },
-		Log: logrus.NewEntry(logrus.New()),
+		Calls:     func(int64) http.Handler { return calls },
+		Config:    func() (int64, []byte) { return p.version.Load(), []byte("configuration") },
+		OnRefused: func(relay.Refusal) {},
+		Log:       logrus.NewEntry(logrus.New()),
 	}))
 	DeferCleanup(func() {
 		close(released)
