controller, fleet, relay: answer by no older configuration than a job that was started

What callers would see: a leader starts a job of a queue that was just added, and says 404 for that queue.

Cause: a job's record holds the policy of the configuration by which it was accepted, at any instance, and the leader goes by it. Its own configuration comes by another watch, which may be later (a connection that has gone silent, history that was dropped while jobs are found through notices). So it acted by a version that it did not know.

Why this works: the leader notes the version before it starts the job. From then on it answers callers by that version or through other instances. An answer now brings the configuration if it is newer than the one in force; before, one of which the instance knew already was not read again after a failure.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -101,6 +101,9 @@
 	EvacuationsPrefix string
 	// Config returns the current configuration.
 	Config func() *site.Config
+	// OnNewerConfig is called with the version of a newer configuration by which a job runs; nil
+	// means that nothing is called.
+	OnNewerConfig func(version int64)
 	// Limits returns the current limits.
 	Limits   func() Limits
 	Clock    *clock.Clock
@@ -189,6 +192,9 @@
 	if opts.PageTimeout == 0 {
 		opts.PageTimeout = storeTimeout
 	}
+	if opts.OnNewerConfig == nil {
+		opts.OnNewerConfig = func(int64) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{
 		opts: opts, events: make(chan func(), eventQueueSize), ctx: ctx, cancel: cancel,
--- a/controller/policies.go
+++ b/controller/policies.go
@@ -57,6 +57,7 @@
 	if known := c.opts.Config().Version; j.policy.Version > known {
 		c.opts.Log.WithFields(logrus.Fields{"job": j.id, "queue": j.record.Queue, "version": j.policy.Version, "config": known}).
 			Info("controller: job goes by a newer configuration than is known here")
+		c.opts.OnNewerConfig(j.policy.Version)
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,8 +90,8 @@
 	kernel   *kernel.Kernel
 	config   atomic.Pointer[site.Config]
 	// storedConfig is the same configuration as the store holds it. configLock is held while a
-	// configuration is put into force. newestVersion is the highest version by which another
-	// instance has answered a call of this one.
+	// configuration is put into force. newestVersion is the highest version that another instance
+	// has told of or by which it has accepted a job that this one runs.
 	storedConfig  atomic.Pointer[storedConfig]
 	configLock    sync.Mutex
 	newestVersion atomic.Int64
@@ -152,7 +152,7 @@
 	callerOptions := platform.JobHandlerOptions{Jobs: i.intakeHandler, OnAnswer: i.recordAnswer, Clock: i.clock, Log: i.opts.Log}
 	peers := i.newPeerHandler(callerOptions)
 	callerOptions.Relay = relay.New(relay.Options{
-		Peers: i.roster.Peers, Version: i.configVersion, Adopt: i.adoptConfig,
+		Peers: i.roster.Peers, Version: i.configVersion, InForce: func() int64 { return i.config.Load().Version }, Adopt: i.adoptConfig,
 		Client: platform.NewPeerClient(), Clock: i.clock, Log: i.opts.Log,
 	})
 	callerOptions.OnRelay = func(outcome string) {
@@ -214,7 +214,7 @@
 	jobController = controller.New(controller.Options{
 		Store: store, Workers: platform.NewWorkerClient(), Hosts: hosts, Board: i.board, PageTimeout: pageTimeout(s),
 		Prefix: platform.WorkersPrefix, Decode: platform.DecodeWorker,
-		Term: i.election.Term, Config: i.config.Load, SinceStoreChange: func() clock.Millis { return i.jobMirror.SinceChange() },
+		Term: i.election.Term, Config: i.config.Load, OnNewerConfig: i.noteConfigVersion, SinceStoreChange: func() clock.Millis { return i.jobMirror.SinceChange() },
 		Evacuations: i.evacuations, EvacuationsPrefix: platform.EvacuationPrefix,
 		Limits: i.limits, LeaderTTL: election.DefaultTTL, ShareEnds: i.witness.Share,
 		Clock: i.clock, Counters: i.counters, Log: log,
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -84,13 +84,19 @@
 	return stored.version, stored.value
 }
 
+// noteConfigVersion notes that a version of the configuration exists. Unless it is in force here, calls are
+// not answered by the older one from now on.
+func (i *Instance) noteConfigVersion(version int64) {
+	for seen := i.newestVersion.Load(); version > seen && !i.newestVersion.CompareAndSwap(seen, version); {
+		seen = i.newestVersion.Load()
+	}
+}
+
 // adoptConfig puts the configuration of another instance into force; raw is nil if it could not be
 // read.
 func (i *Instance) adoptConfig(version int64, raw []byte) {
 	i.opts.Log.WithFields(logrus.Fields{"version": version, "bytes": len(raw)}).Info("config: another instance knows a newer configuration")
-	for seen := i.newestVersion.Load(); version > seen && !i.newestVersion.CompareAndSwap(seen, version); {
-		seen = i.newestVersion.Load()
-	}
+	i.noteConfigVersion(version)
 	if raw != nil {
 		i.applyConfig([]kv.Entry{{Key: platform.ConfigKey, Value: raw}})
 	}
--- a/relay/config.go
+++ b/relay/config.go
@@ -117,11 +117,11 @@
 	return version
 }
 
-// adoptNewer adopts the configuration of an instance, and reports whether it is newer than the one known
+// adoptNewer adopts the configuration of an instance, and reports whether it is newer than the one in force
 // here. The header is that of the instance's answer.
 func (r *Relay) adoptNewer(ctx context.Context, peer string, header http.Header) bool {
 	version := versionOf(header)
-	if version <= r.opts.Version() {
+	if version <= r.opts.InForce() {
 		return false
 	}
 	raw, err := r.readConfig(ctx, peer)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	http.Serve(listener, relay.NewHandler(relay.HandlerOptions{Calls: callersBy, Config: config, OnRefused: count, Log: log}))
-//	r := relay.New(relay.Options{Peers: roster.Peers, Client: client, Version: version, Adopt: adopt, Log: log})
+//	r := relay.New(relay.Options{Peers: roster.Peers, Client: client, Version: version, InForce: inForce, Adopt: adopt, Log: log})
 //	answer := r.Send(ctx, relay.Call{Method: "POST", Path: "/wipe/5c0e7a21d94b36f8", Host: "h", Header: header, Body: body})
 //	switch answer.Outcome {
 //	case relay.Answered: // pass answer.Status, answer.RetryAfter and answer.Body on
@@ -99,8 +99,10 @@
 type Options struct {
 	// Peers returns the addresses of the other instances.
 	Peers func() []string
-	// Version returns the version of the configuration that this instance knows.
+	// Version returns the newest version of the configuration of which this instance knows, and InForce that
+	// of the configuration in force here.
 	Version func() int64
+	InForce func() int64
 	// Adopt is called with the newer configuration of an instance that was asked, or with nil if it
 	// could not be read, and with its version.
 	Adopt func(version int64, raw []byte)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -109,12 +109,14 @@
 	*relay.Relay
 	peers   []*peer
 	adopted []string
-	version atomic.Int64
+	// version is the newest version of which the relay knows, inForce that of the configuration that it has.
+	version, inForce atomic.Int64
 }
 
 func newRelay(behaviours ...behaviour) *handOn {
 	h := &handOn{}
 	h.version.Store(ownVersion)
+	h.inForce.Store(ownVersion)
 	for _, b := range behaviours {
 		h.peers = append(h.peers, newPeer(b, h.version.Load))
 	}
@@ -128,10 +130,11 @@
 			}
 			return list
 		},
-		Version: h.version.Load,
+		Version: h.version.Load, InForce: h.inForce.Load,
 		Adopt: func(version int64, raw []byte) {
 			h.adopted = append(h.adopted, fmt.Sprintf("%d %s", version, raw))
 			h.version.Store(version)
+			h.inForce.Store(version)
 		},
 		Client: &http.Client{}, Log: logrus.NewEntry(log),
 	})
@@ -191,6 +194,14 @@
 		Entry("answers that the key is unknown", refusesNoKey),
 	)
 
+	It("brings a configuration of which this instance only knows", func() {
+		h := newRelay(carriesOut)
+		h.version.Store(newVersion)
+		Expect(h.send().Status).To(Equal(http.StatusOK))
+		Expect(h.peers[0].asked.Load()).To(BeEquivalentTo(1))
+		Expect(h.adopted).To(Equal([]string{"7 configuration"}))
+	})
+
 	It("brings the configuration that came into force at the peer meanwhile", func() {
 		h := newRelay(changesToo)
 		Expect(h.send().Status).To(Equal(http.StatusOK))
