intake, fleet: say that there is no queue or key only by a configuration that is not outdated

What callers saw: an instance without the store, or just after its return, said 404 for a queue, or 401 for a key, that had been added meanwhile, if no other instance answered it. Both are final: the caller does not come back.

Cause: the answer was kept as it was when nobody could be asked, and nobody was asked while the store was reachable, also if the watch of the configuration had failed.

Why this works: while a newer configuration may be in force unnoticed for longer than the installation allows (configApplyMs), or the store is lost, such a call is handed on, and refused with 503 and Retry-After if no instance can answer it. The caller comes back, to another instance.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -233,7 +233,7 @@
 		},
 	})
 	i.intakeHandler = intake.New(intake.Options{
-		Name: s.Name, Store: store, MaxValue: s.MaxValue, Stored: func() stored.Limit { return storedLimit(s, i.roster.Others()) }, Board: i.board, Config: i.usableConfig, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
+		Name: s.Name, Store: store, MaxValue: s.MaxValue, Stored: func() stored.Limit { return storedLimit(s, i.roster.Others()) }, Board: i.board, Config: i.usableConfig, ConfigOutdated: i.configMayBeOutdated, KeysOutdated: i.keysMayBeRevoked, Reachable: i.storeHealth.OK, Age: i.jobMirror.Age, SinceChange: i.jobMirror.SinceChange,
 		OnRetry: i.counters.Counter(controller.RetriesMetric("acceptance")).Inc, Clock: i.clock, Log: log,
 	})
 	i.kernel.Add("roster", i.roster)
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -73,6 +73,13 @@
 	return &site.Config{}
 }
 
+// configMayBeOutdated reports whether a newer configuration may be in force, unnoticed by this instance,
+// for longer than the installation allows.
+func (i *Instance) configMayBeOutdated() bool {
+	limit := i.bounds.Load().ConfigTime
+	return !i.storeHealth.OK() || (limit > 0 && i.configMirror.Age() > limit)
+}
+
 func (i *Instance) configVersion() int64 { return max(i.config.Load().Version, i.newestVersion.Load()) }
 
 // latestConfig returns the version of the configuration and its value in the store.
--- a/fleet/peers_test.go
+++ b/fleet/peers_test.go
@@ -86,7 +86,7 @@
 	s := platform.Settings{
 		Name: name, IP: ip, Domain: domain, CallerAddress: freeAddress(), ReadyAddress: freeAddress(), StoreAddress: store, Cores: 1, LinkSpeed: 1000,
 		Ports:  [2]int{peerPort, 0},
-		Bounds: platform.Bounds{MaxLease: 5 * clock.Second, StopTime: 100 * clock.Millisecond, TerminationGrace: 3 * clock.Second},
+		Bounds: platform.Bounds{MaxLease: 5 * clock.Second, StopTime: 100 * clock.Millisecond, TerminationGrace: 3 * clock.Second, ConfigTime: 2 * clock.Second},
 	}
 	log := logrus.New()
 	log.SetOutput(GinkgoWriter)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -15,7 +15,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -70,28 +69,6 @@
 	return []Verdict{OK, NotReady, Busy, Unsure, NoQueue, NoKey, NoJob, IDTaken, Invalid, Full}
 }
 
-// Call is a caller's request before it is matched to a queue.
-type Call struct {
-	Host string
-	Path string
-	Key  string
-	// Config is the version of the configuration by which the call has to be answered; 0 means
-	// the one in force.
-	Config int64
-}
-
-// Grant describes a call that is allowed.
-type Grant struct {
-	Queue   site.Queue
-	Account site.Account
-	// ID is the ID of the job; "" for a call about the whole queue.
-	ID string
-	// Body is the largest allowed size of the request body in bytes.
-	Body int
-	// Version is the version of the configuration by which the call was allowed or refused.
-	Version int64
-}
-
 // Answer is the answer to a caller. Only Handler.State sets State, and only Handler.Pending sets
 // Pending, which is the number of the queue's jobs of which no task has started yet.
 type Answer struct {
@@ -102,8 +79,8 @@
 	// means that no retry is suggested.
 	RetryAfter clock.Millis
 	Reason     string
-	// Outdated is set if another instance may know a newer state or configuration, because this
-	// one can't reach the store.
+	// Outdated is set if another instance may know a newer state, because this one can't reach the
+	// store.
 	Outdated bool
 }
 
@@ -130,6 +107,9 @@
 	Board *board.Board
 	// Config returns the current configuration.
 	Config func() *site.Config
+	// ConfigOutdated reports whether a newer configuration may be in force, unnoticed by this
+	// instance, for longer than allowed; nil means while the store is not reachable.
+	ConfigOutdated func() bool
 	// KeysOutdated reports whether the configuration is so old that this instance may accept an API
 	// key that was revoked longer ago than allowed; nil means never.
 	KeysOutdated func() bool
@@ -182,6 +162,9 @@
 	if opts.Reachable == nil {
 		opts.Reachable = func() bool { return true }
 	}
+	if opts.ConfigOutdated == nil {
+		opts.ConfigOutdated = func() bool { return !opts.Reachable() }
+	}
 	if opts.KeysOutdated == nil {
 		opts.KeysOutdated = func() bool { return false }
 	}
@@ -223,44 +206,6 @@
 	}
 }
 
-// Admit matches a call to a queue and checks its API key. The answer is nil if the call is
-// allowed. Of a refused call, the grant holds only the version of the configuration.
-func (h *Handler) Admit(c Call) (Grant, *Answer) {
-	cfg := h.opts.Config()
-	if cfg == nil || cfg.Version == 0 {
-		return Grant{}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "no configuration yet"}
-	}
-	if c.Config != 0 && c.Config != cfg.Version {
-		return Grant{Version: cfg.Version}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "another configuration is in force"}
-	}
-	queue, ok := cfg.Match(c.Host, c.Path)
-	if !ok {
-		return Grant{Version: cfg.Version}, &Answer{Verdict: NoQueue, Reason: "no queue at this address", Outdated: !h.opts.Reachable()}
-	}
-	if !queue.Public && h.opts.KeysOutdated() {
-		return Grant{Version: cfg.Version}, &Answer{Verdict: NotReady, RetryAfter: retryAfter, Reason: "the configuration is too old to accept keys by"}
-	}
-	account, ok := cfg.ByKey(c.Key)
-	if !ok && !queue.Public {
-		return Grant{Version: cfg.Version}, &Answer{Verdict: NoKey, Reason: "unknown key", Outdated: !h.opts.Reachable()}
-	}
-	g := Grant{Queue: queue, Account: account, ID: c.Path[len(queue.Prefix):], Body: cfg.Limits.Body, Version: cfg.Version}
-	if g.Body <= 0 {
-		g.Body = defaultMaxBody
-	}
-	if g.ID != "" && !isID(g.ID) {
-		return Grant{Version: cfg.Version}, &Answer{Verdict: Invalid, Reason: "the ID is not 16 hexadecimal digits"}
-	}
-	return g, nil
-}
-
-func isID(s string) bool {
-	if len(s) != idDigits {
-		return false
-	}
-	return strings.Trim(s, "0123456789abcdefABCDEF") == ""
-}
-
 // Submit accepts a job once its record is written to the store. Submitting the same job again
 // with the same ID succeeds and does not create another job.
 func (h *Handler) Submit(ctx context.Context, g Grant, spec workflow.Spec) Answer {
--- a/intake/state.go
+++ b/intake/state.go
@@ -20,7 +20,7 @@
 )
 
 // MayRelay reports whether another instance may be able to answer the call better, because this one
-// can't carry it out or may know only an old state or configuration.
+// can't carry it out or may know only an old state.
 func (a *Answer) MayRelay() bool {
 	return a.Verdict == Busy || a.Verdict == Unsure || a.Verdict == NotReady || a.Outdated
 }
