soak: change the configuration beside the faults

The soak changed no configuration, so nothing there could show an instance that goes back to an older one. A fourth sequence now adds a queue up to once a second. Callers ask random instances for the counts of the newest queues and submit jobs to them, each to one instance. An answer that there is no such queue, 250 ms after the same process has answered for one as new or a job that was submitted to it has started there, is a violation, as is an instance without the last configuration at the end.

--- a/soak/check.go
+++ b/soak/check.go
@@ -38,6 +38,7 @@
 	}
 	r.checkIdleJobs(intervals)
 	r.checkEvacuations()
+	r.checkChanges(intervals)
 }
 
 // history returns the runs that all workers recorded.
--- a/soak/process.go
+++ b/soak/process.go
@@ -110,6 +110,16 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// processID returns the ID of the process that was started last, which tells its restarts apart.
+func (p *process) processID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 
 // kill sends SIGKILL to the process and waits for its exit.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,12 +18,13 @@
 //   - workers that drop the answers to start requests, answer them with the status of a proxy or
 //     carry them out late, that restart, drain, end and are replaced, and whose entries in the
 //     store are overwritten by another writer;
-//   - failure domains that are to be evacuated.
+//   - failure domains that are to be evacuated;
+//   - changes of the configuration, each of which adds a queue.
 //
 // The speeds of the workers differ. A leader takes that into account from eight workers on, with Options.Scale of 2.
 //
-// Three sequences of faults run beside each other, one of them with the faults of workers and their
-// links, and one with evacuations. In each, faults start one after another and may overlap. After the last one, a gang that wants one rack
+// Four sequences of faults run beside each other, one of them with the faults of workers and their
+// links, one with evacuations, and one with changes of the configuration. In each, faults start one after another and may overlap. After the last one, a gang that wants one rack
 // waits while long tasks hold a part of each rack, and the leader is restarted once.
 package soak
 
@@ -133,8 +134,12 @@
 	evacuations []evacuation
 	resumedAt   []time.Time
 	watchesMute atomic.Bool
+	// changes is the number of changes of the configuration. Each has added a queue.
+	changes atomic.Int64
 
 	mu sync.Mutex
+	// changeAnswers are the answers to calls for queues that were added.
+	changeAnswers []changeAnswer
 	// ended holds the workers that have been replaced.
 	ended  []*platformtest.Worker
 	jobs   []*job
@@ -162,6 +167,8 @@
 	submitter.Go(func() { r.submitRackJobs(ctx) })
 	submitter.Go(func() { r.askStates(ctx) })
 	submitter.Go(func() { r.injectFaults(ctx, rand.New(rand.NewPCG(r.opts.Seed, 3)), r.opts.workerKinds()) })
+	submitter.Go(func() { r.changeConfig(ctx, rand.New(rand.NewPCG(r.opts.Seed, 5))) })
+	submitter.Go(func() { r.askChanges(ctx, rand.New(rand.NewPCG(r.opts.Seed, 6))) })
 	submitter.Go(func() { r.evacuateDomains(ctx, rand.New(rand.NewPCG(r.opts.Seed, 4))) })
 	r.injectFaults(ctx, r.random, faultKinds)
 	submitter.Wait()
@@ -176,10 +183,7 @@
 }
 
 func (r *run) start() error {
-	r.store.Put("op/config", platformtest.Config(1,
-		platformtest.Queue{Name: "urgent", Priority: 0, Attempts: 3},
-		platformtest.Queue{Name: "batch", Priority: 2, Attempts: 3},
-		platformtest.Queue{Name: rackQueue, Priority: 2, Attempts: 3}))
+	r.putConfig(0)
 	for i := range workerCount * r.opts.Scale {
 		p, err := newProxy("")
 		if err != nil {
@@ -261,17 +265,7 @@
 func (r *run) submitJob(j *job, firstInstance int, cancels bool) {
 	ctx := context.Background()
 	for attempt := range maxSubmitAttempts {
-		status := r.caller.Submit(ctx, r.processes[(firstInstance+attempt)%len(r.processes)].callerAddress, j.queue, j.id, j.body)
-		r.mu.Lock()
-		switch status {
-		case 200:
-			j.accepted, j.acceptedAt = true, time.Now()
-		case 503, 429:
-			j.refusals++
-		default:
-			j.ambiguous = true
-		}
-		r.mu.Unlock()
+		status := r.submitOnce(ctx, j, r.processes[(firstInstance+attempt)%len(r.processes)])
 		if status == 200 || (cancels && j.ambiguous) {
 			break
 		}
@@ -283,6 +277,22 @@
 	}
 }
 
+// submitOnce submits a job to an instance and notes the answer.
+func (r *run) submitOnce(ctx context.Context, j *job, p *process) (status int) {
+	status = r.caller.Submit(ctx, p.callerAddress, j.queue, j.id, j.body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch status {
+	case 200:
+		j.accepted, j.acceptedAt = true, time.Now()
+	case 503, 429:
+		j.refusals++
+	default:
+		j.ambiguous = true
+	}
+	return status
+}
+
 // cancelJob asks one instance after another to cancel a job until one has answered that it is cancelled, or
 // that there is no such job.
 func (r *run) cancelJob(j *job, firstInstance int) {
