fleet: forget a noted version of the configuration that the store does not show

What callers would see: an operator goes back to a lower version (a mistake, or a store that was set up anew) and restarts the instances; while a job that was accepted by the higher version lasts, its leader answers 503 to everybody.

Cause: the version of a job's record, noted since, and that of another instance, noted before, counted until a configuration as new came. A record lasts as long as its job.

Evidence: the fleet spec, which fails without the limit.

Why this works: the store loses nothing and shows its newest configuration. Without the store, the note goes on counting.

--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -13,8 +13,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/board"
+	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/platform/platformtest"
+	"github.com/chestnutsail/chestnutsail/workflow"
 )
 
 // storeWithoutConfig returns the address of a proxy for the store, and a function that makes it fail the
@@ -111,6 +114,20 @@
 		Consistently(status(leader, "new"), time.Second).ShouldNot(Equal(404))
 	})
 
+	// Guards against a leader that answers nobody for as long as a job lasts that was accepted by a version
+	// from which the operators have gone back.
+	It("answers by it again if the store shows none as new as that of a job", func() {
+		store.Put(board.RecordKey(id), workflow.Encode(workflow.Record{
+			Queue: "q", AcceptedAt: clock.New().Now(), Policy: workflow.Policy{Version: 9, Service: "gone", Attempts: 1},
+			Spec: workflow.Spec{Payload: "ms=50", Steps: []workflow.Step{{Count: 1, Accels: 1}}},
+		}))
+		leader := startInstance("e2", "a", store.Address())
+		Eventually(status(leader, "q"), 3*time.Second).Should(Equal(200))
+		Eventually(func() string { return leaderName(store) }, 3*time.Second).Should(Equal("e2"))
+		Eventually(status(leader, "q"), 3*time.Second).Should(Equal(503))
+		Eventually(status(leader, "q"), 10*time.Second).Should(Equal(200))
+	})
+
 	It("asks another one for a queue that it does not know, although it reaches the store", func() {
 		address, failConfig := storeWithoutConfig(store)
 		current, behind := startBoth(address)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,13 +90,13 @@
 	kernel   *kernel.Kernel
 	config   atomic.Pointer[site.Config]
 	// storedConfig is the same configuration as the store holds it. configLock is held while a
-	// configuration is put into force. newestVersion is the highest version that another instance
+	// configuration is put into force. notedVersion is the highest version that another instance
 	// has told of or by which it has accepted a job that this one runs.
-	storedConfig  atomic.Pointer[storedConfig]
-	configLock    sync.Mutex
-	newestVersion atomic.Int64
-	bounds        atomic.Pointer[platform.Bounds]
-	board         *board.Board
+	storedConfig atomic.Pointer[storedConfig]
+	configLock   sync.Mutex
+	notedVersion atomic.Pointer[notedVersion]
+	bounds       atomic.Pointer[platform.Bounds]
+	board        *board.Board
 	// evacuations is nil if the operators make no such requests.
 	evacuations   *evacuation.Requests
 	configMirror  *mirror.Mirror
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutsail/chestnutsail/election"
 	"github.com/chestnutsail/chestnutsail/heartbeat"
 	"github.com/chestnutsail/chestnutsail/kv"
+	"github.com/chestnutsail/chestnutsail/mirror"
 	"github.com/chestnutsail/chestnutsail/platform"
 	"github.com/chestnutsail/chestnutsail/relay"
 	"github.com/chestnutsail/chestnutsail/site"
@@ -29,6 +30,9 @@
 	// watchersPerDomain is the number of instances of each failure domain that watch the leader. One of
 	// them may fail together with the leader.
 	watchersPerDomain = 2
+	// noteTime is the time in milliseconds after which the store has shown a configuration that exists: a
+	// watch that is answered later was begun after it, and history that was dropped has been noticed.
+	noteTime = mirror.DefaultWait + mirror.DefaultTimeout + 3*clock.Second
 )
 
 // storedConfig is a configuration as the store holds it.
@@ -37,6 +41,12 @@
 	value   []byte
 }
 
+// notedVersion is a version of the configuration that became known at a time without the configuration.
+type notedVersion struct {
+	version int64
+	at      clock.Millis
+}
+
 // peerAddress returns the address at which other instances reach this one, or "" if the settings
 // leave no port for that beside the one for metrics. The instance then neither registers nor takes
 // calls of others.
@@ -64,15 +74,41 @@
 	})
 }
 
-// usableConfig returns the configuration by which calls are answered. It is empty while another
-// instance is known to have a newer one: answering by the older one would go back.
+// usableConfig returns the configuration by which calls are answered. It is empty while a newer one is
+// known to exist: answering by the older one would go back.
 func (i *Instance) usableConfig() *site.Config {
-	if cfg := i.config.Load(); cfg.Version >= i.newestVersion.Load() {
+	if cfg := i.config.Load(); cfg.Version >= i.configVersion() {
 		return cfg
 	}
 	return &site.Config{}
 }
 
+// configVersion returns the highest version of the configuration that is known to exist. A version that
+// was noted no longer counts once the store has had the time to show it and has not done so: the operators
+// may have gone back to a lower one.
+func (i *Instance) configVersion() int64 {
+	version, noted := i.config.Load().Version, i.notedVersion.Load()
+	if noted == nil || noted.version <= version {
+		return version
+	}
+	if confirmedAt := i.clock.Now() - i.configMirror.Age(); confirmedAt > noted.at+noteTime {
+		return version
+	}
+	return noted.version
+}
+
+// noteConfigVersion notes that a version of the configuration exists. Unless it is in force here, calls are
+// not answered by the older one from now on.
+func (i *Instance) noteConfigVersion(version int64) {
+	next := &notedVersion{version, i.clock.Now()}
+	for {
+		noted := i.notedVersion.Load()
+		if noted != nil && noted.version >= version || i.notedVersion.CompareAndSwap(noted, next) {
+			return
+		}
+	}
+}
+
 // configMayBeOutdated reports whether a newer configuration may be in force, unnoticed by this instance,
 // for longer than the installation allows.
 func (i *Instance) configMayBeOutdated() bool {
@@ -80,8 +116,6 @@
 	return !i.storeHealth.OK() || (limit > 0 && i.configMirror.Age() > limit)
 }
 
-func (i *Instance) configVersion() int64 { return max(i.config.Load().Version, i.newestVersion.Load()) }
-
 // latestConfig returns the version of the configuration and its value in the store.
 func (i *Instance) latestConfig() (int64, []byte) {
 	stored := i.storedConfig.Load()
@@ -91,14 +125,6 @@
 	return stored.version, stored.value
 }
 
-// noteConfigVersion notes that a version of the configuration exists. Unless it is in force here, calls are
-// not answered by the older one from now on.
-func (i *Instance) noteConfigVersion(version int64) {
-	for seen := i.newestVersion.Load(); version > seen && !i.newestVersion.CompareAndSwap(seen, version); {
-		seen = i.newestVersion.Load()
-	}
-}
-
 // adoptConfig puts the configuration of another instance into force; raw is nil if it could not be
 // read.
 func (i *Instance) adoptConfig(version int64, raw []byte) {
