fleet, controller: refuse no call while a configuration comes into force, note none for a job that has ended

Two slips of, found by reading: a call that arrived in the microseconds in which a configuration came into force could be refused, since the version to compare with was read after the configuration; and a job that has ended, of which nothing is started, was noted like one that runs.

--- a/controller/jobs.go
+++ b/controller/jobs.go
@@ -76,9 +76,11 @@
 	if j.cancelled && !j.state.Final() {
 		c.cancelJob(j)
 	}
-	c.reportNewerPolicy(j)
-	if c.workersListed && !j.state.Final() {
-		c.adoptPolicy(j, c.opts.Config())
+	if !j.state.Final() {
+		c.reportNewerPolicy(j)
+		if c.workersListed {
+			c.adoptPolicy(j, c.opts.Config())
+		}
 	}
 	c.finishIfDone(j)
 }
--- a/fleet/peers.go
+++ b/fleet/peers.go
@@ -31,7 +31,7 @@
 	// them may fail together with the leader.
 	watchersPerDomain = 2
 	// noteTime is the time in milliseconds after which the store has shown a configuration that exists: a
-	// watch that is answered later was begun after it, and history that was dropped has been noticed.
+	// watch that is answered later was begun after it, and its silence before history is dropped is over.
 	noteTime = mirror.DefaultWait + mirror.DefaultTimeout + 3*clock.Second
 )
 
@@ -77,7 +77,9 @@
 // usableConfig returns the configuration by which calls are answered. It is empty while a newer one is
 // known to exist: answering by the older one would go back.
 func (i *Instance) usableConfig() *site.Config {
-	if cfg := i.config.Load(); cfg.Version >= i.configVersion() {
+	// The configuration in force is read last, as a newer one may come meanwhile.
+	known := i.configVersion()
+	if cfg := i.config.Load(); cfg.Version >= known {
 		return cfg
 	}
 	return &site.Config{}
