--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -117,13 +117,13 @@
 	// Guards against a leader that answers nobody for as long as a job lasts that was accepted by a version
 	// from which the operators have gone back.
 	It("answers by it again if the store shows none as new as that of a job", func() {
+		leader := startInstance("e2", "a", store.Address())
+		Eventually(status(leader, "q"), 3*time.Second).Should(Equal(410))
+		Eventually(func() string { return leaderName(store) }, 3*time.Second).Should(Equal("e2"))
 		store.Put(board.RecordKey(id), workflow.Encode(workflow.Record{
 			Queue: "q", AcceptedAt: clock.New().Now(), Policy: workflow.Policy{Version: 9, Service: "gone", Attempts: 1},
 			Spec: workflow.Spec{Payload: "ms=50", Steps: []workflow.Step{{Count: 1, Accels: 1}}},
 		}))
-		leader := startInstance("e2", "a", store.Address())
-		Eventually(status(leader, "q"), 3*time.Second).Should(Equal(200))
-		Eventually(func() string { return leaderName(store) }, 3*time.Second).Should(Equal("e2"))
 		Eventually(status(leader, "q"), 3*time.Second).Should(Equal(503))
 		Eventually(status(leader, "q"), 10*time.Second).Should(Equal(200))
 	})
