--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -153,7 +153,8 @@
 	peers := i.newPeerHandler(callerOptions)
 	callerOptions.Relay = relay.New(relay.Options{
 		Peers: i.roster.Peers, Version: i.configVersion, InForce: func() int64 { return i.config.Load().Version }, Adopt: i.adoptConfig,
-		Client: platform.NewPeerClient(), Clock: i.clock, Log: i.opts.Log,
+		OnRetry: i.counters.Counter(controller.RetriesMetric("config")).Inc,
+		Client:  platform.NewPeerClient(), Clock: i.clock, Log: i.opts.Log,
 	})
 	callerOptions.OnRelay = func(outcome string) {
 		i.counters.Counter(`chestnutsail_relayed_total{outcome="` + outcome + `"}`).Inc()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	http.Serve(listener, relay.NewHandler(relay.HandlerOptions{Calls: callersBy, Config: config, OnRefused: count, Log: log}))
-//	r := relay.New(relay.Options{Peers: roster.Peers, Client: client, Version: version, InForce: inForce, Adopt: adopt, Log: log})
+//	r := relay.New(relay.Options{Peers: roster.Peers, Client: client, Version: version, InForce: inForce, Adopt: adopt, OnRetry: count, Log: log})
 //	answer := r.Send(ctx, relay.Call{Method: "POST", Path: "/wipe/5c0e7a21d94b36f8", Host: "h", Header: header, Body: body})
 //	switch answer.Outcome {
 //	case relay.Answered: // pass answer.Status, answer.RetryAfter and answer.Body on
@@ -106,6 +106,8 @@
 	// Adopt is called with the newer configuration of an instance that was asked, or with nil if it
 	// could not be read, and with its version.
 	Adopt func(version int64, raw []byte)
+	// OnRetry is called for each call that is handed to an instance again after its configuration was adopted.
+	OnRetry func()
 	// Client makes the calls. Its time to open a connection should be short, since a caller
 	// waits meanwhile.
 	Client *http.Client
@@ -191,6 +193,7 @@
 		if !adopted || answer.Outcome != NotRun {
 			return answer
 		}
+		r.opts.OnRetry()
 	}
 	answer, _ := r.tryOnce(ctx, peer, c)
 	return answer
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -109,6 +109,7 @@
 	*relay.Relay
 	peers   []*peer
 	adopted []string
+	retries int
 	// version is the newest version of which the relay knows, inForce that of the configuration that it has.
 	version, inForce atomic.Int64
 }
@@ -136,7 +137,8 @@
 			h.version.Store(version)
 			h.inForce.Store(version)
 		},
-		Client: &http.Client{}, Log: logrus.NewEntry(log),
+		OnRetry: func() { h.retries++ },
+		Client:  &http.Client{}, Log: logrus.NewEntry(log),
 	})
 	return h
 }
@@ -185,6 +187,7 @@
 			h.send()
 			Expect(h.peers[0].asked.Load()).To(BeEquivalentTo(1))
 			Expect(h.peers[0].ahead.Load()).To(BeZero())
+			Expect(h.retries).To(Equal(1))
 			Expect(h.adopted).To(Equal([]string{"7 configuration"}))
 		},
 		Entry("carries it out", carriesOut),
