gang: a gang without members has not finished

Cause: a gang has finished when as many members have finished as there are, which a record without members meets. Such a record is stopped when a scheduler of an older term requeues a job, and the write takes effect between the newer scheduler's read of the record and its placement.

Evidence: the new dispatch spec lets the requeue take effect at each call of the newer scheduler's start.

Why this works: Check and Stop need at least one finished member, so the job is placed again.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutsail/chestnutsail/consultest"
 	"github.com/chestnutsail/chestnutsail/dispatch"
 	"github.com/chestnutsail/chestnutsail/job"
+	"github.com/chestnutsail/chestnutsail/kv"
 	"github.com/chestnutsail/chestnutsail/outcome"
 	"github.com/chestnutsail/chestnutsail/term"
 )
@@ -132,6 +133,30 @@
 		})
 	})
 
+	// Guards against a job that counts as done without a run, because a late write of an older scheduler requeues it
+	// while the newer one places it.
+	It("runs when a scheduler of an older term requeues its job at any call of its start", func() {
+		const steps = 12
+		parallel(steps, func(step int) {
+			d := newDomain(2)
+			newer := d.addEntry("e2", func(o *dispatch.Options) { o.Election = fakeElection{"e2", 2} })
+			older := d.addLedger()
+			spec := gangSpec("night", 2, `{"sleep_ms":100,"echo":"ok"}`)
+			newer.network.delayAt.Store(newer.network.calls.Load() + 2 + int64(step))
+			Expect(older.Submit(bg(), spec).Kind).To(Equal(outcome.Accepted))
+			e, err := older.Find(bg(), "a", spec.ID())
+			Expect(err).NotTo(HaveOccurred())
+			newer.dispatcher.Hint("a", e)
+			time.Sleep(50 * time.Millisecond)
+			e.Record.Attempt, e.Record.Term = 1, 1
+			_, err = older.Write(bg(), e)
+			Expect(err).To(Or(BeNil(), Satisfy(func(err error) bool { return kv.KindOf(err) == kv.Conflict })))
+			close(newer.network.resume)
+			checkOutcome(d, spec, newer.awaitEnd("night"), times.StartLease, fmt.Sprint("step ", step))
+			newer.kill()
+		})
+	})
+
 	// Guards against a paused scheduler whose delayed calls take effect after another instance
 	// has taken over.
 	It("runs whole or not at all when its scheduler freezes at any call until its lease has lapsed, then resumes", func() {
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -220,6 +220,18 @@
 	return e
 }
 
+// addLedger returns a ledger of the domain that no instance uses and that sends no hints.
+func (d *domain) addLedger() *ledger.Ledger {
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	l := ledger.New(ledger.Options{
+		Store: consul.New(consul.Config{Address: d.storeURL, Timeout: clock.Second}), Domain: "a",
+		Log: log.WithField("entry", "older"), Hint: func(string, ledger.Entry) {},
+	})
+	DeferCleanup(l.Stop)
+	return l
+}
+
 // kill disconnects the instance and then stops it, so that it cannot notify the others.
 func (e *entry) kill() {
 	e.network.dead.Store(true)
--- a/gang/adopt_test.go
+++ b/gang/adopt_test.go
@@ -107,6 +107,18 @@
 		Expect(r.Kind).To(Equal(scheduler.Refused))
 		Expect(r.Lifted).To(BeFalse())
 	})
+
+	// Guards against a job that counts as done although no member of it has run.
+	DescribeTable("has not finished if its record has no members", func(takeOver func(*gang.Gang) gang.Result, kind scheduler.EventKind) {
+		s := newFixture()
+		s.record.Members = nil
+		r := takeOver(s.gang(2, true, nil))
+		Expect(r.Kind).To(Equal(kind))
+		Expect(r.Lifted).To(BeFalse())
+	},
+		Entry("stopped", stopNow, scheduler.Stopped),
+		Entry("adopted", adoptNow, scheduler.Refused),
+	)
 })
 
 func stopNow(g *gang.Gang) gang.Result { return g.Stop(context.Background(), clock.Millis(0)) }
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,7 +148,7 @@
 			r.Kind, r.Worker = scheduler.Lost, name
 		}
 	}
-	if finished == len(r.Tasks) {
+	if finished > 0 && finished == len(r.Tasks) {
 		r.Kind = scheduler.Finished
 		return r
 	}
@@ -158,17 +159,15 @@
 // resumePoint returns the name of the checkpoint to resume from: the first member's, if every
 // member has written one, and otherwise the last one.
 func resumePoint(tasks []worker.Task, last string) string {
-	for _, t := range tasks {
-		if t.Checkpoint == "" {
-			return last
-		}
+	if len(tasks) == 0 || slices.ContainsFunc(tasks, func(t worker.Task) bool { return t.Checkpoint == "" }) {
+		return last
 	}
 	return tasks[0].Checkpoint
 }
 
 // Check queries the state of every member. The result is Finished when all members have
 // finished, Broken when a member has failed, Lost when a member was stopped or no longer
-// exists, and Started otherwise. When a member cannot be queried, because its worker does not
+// exists or when there are no members, and Started otherwise. When a member cannot be queried, because its worker does not
 // answer or another process answers, the kind is empty and Result.Err is set. Check stops
 // nothing.
 func (g *Gang) Check(ctx context.Context) Result {
@@ -177,6 +176,9 @@
 		return g.result("", name, err)
 	}
 	r := g.result(scheduler.Finished, "", nil)
+	if len(r.Tasks) == 0 {
+		r.Kind = scheduler.Lost
+	}
 	for i, t := range r.Tasks {
 		name := g.opts.Record.Members[i].Worker
 		g.locked(func() { g.lifted = g.lifted || t.Ran || g.mayHaveRun(i, false) })
