controller: the limit of stops is checked without short leases

Cause, of the spec: with leases of 1.5 s, a test process that gets too little of the processor loses the leases of all 800 runs, which then begin again.

Change: leases of 15 s, as the spec is not about leases. The delay of 200 ms follows the call instead of preceding it, where it left 50 ms of the call's 250 ms. All bounds are as before.

--- a/controller/hooks_test.go
+++ b/controller/hooks_test.go
@@ -55,8 +55,8 @@
 	orderAnswered  chan struct{}
 	// stopsInFlight is the number of stops that have no answer yet, and mostStops the largest number so far.
 	stopsInFlight, mostStops int
-	// stopDelay delays each stop.
-	stopDelay time.Duration
+	// stopAnswerDelay delays the answer to each stop.
+	stopAnswerDelay time.Duration
 	// loseStops leaves all stops without an answer.
 	loseStops bool
 	// commitAnswerDelay delays the answers to writes, as if the instance were suspended before it
@@ -228,15 +228,11 @@
 		h.mostStops = max(h.mostStops, h.stopsInFlight)
 	})
 	defer h.set(func(h *hooks) { h.stopsInFlight-- })
-	h.mu.Lock()
-	delay := h.stopDelay
-	h.mu.Unlock()
-	time.Sleep(delay)
 	if h.isMisdirected(w.ID) {
 		return agent.ErrReplaced
 	}
 	h.mu.Lock()
-	lose := h.loseStops
+	lose, answerDelay := h.loseStops, h.stopAnswerDelay
 	h.mu.Unlock()
 	if lose {
 		<-ctx.Done()
@@ -244,7 +240,9 @@
 	}
 	ctx, cancel := h.awaitResumption(ctx)
 	defer cancel()
-	return h.WorkerClient.Stop(ctx, w, task, run, fence)
+	err := h.WorkerClient.Stop(ctx, w, task, run, fence)
+	time.Sleep(answerDelay)
+	return err
 }
 
 // suspend suspends the instance where it has just checked that it leads and is about to act on
--- a/controller/size_test.go
+++ b/controller/size_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/chestnutsail/chestnutsail/clock"
 	"github.com/chestnutsail/chestnutsail/intake"
 	"github.com/chestnutsail/chestnutsail/workflow"
 )
@@ -47,8 +48,8 @@
 	// Guards against one call, with its buffers and its connection, for each run that a cancellation stops.
 	It("is stopped by a bounded number of calls at a time when it is cancelled", func() {
 		const tasks = 800
-		c, i := newClusterWithLeader(2, lease)
-		i.set(func(h *hooks) { h.stopDelay = 200 * time.Millisecond })
+		c, i := newClusterWithLeader(2, 15*clock.Second)
+		i.set(func(h *hooks) { h.stopAnswerDelay = 200 * time.Millisecond })
 		i.submit(jobID(2), workflow.Spec{Payload: "ms=60000", Steps: []workflow.Step{{Count: tasks, Cores: 1}}})
 		running := func() int { return c.workers[0].Running() + c.workers[1].Running() }
 		Eventually(running, 20*time.Second).Should(Equal(tasks))
