soak: the long tasks run for the same time on all workers

Cause, of the soak: its long tasks, of 16 s on a worker of speed 1, take 26.7 s on one of speed 0.6, and all jobs have to end 25 s after the last fault. One that starts a second late misses that. On workers of speed 1.6 they take 10 s, less than the time that has to pass in them.

Change: the tasks run for 16 s on each worker. The bounds are as before.

--- a/soak/racks.go
+++ b/soak/racks.go
@@ -25,8 +25,8 @@
 	// number of tasks of the gang that waits beside them. The gang fits into no rack then, and
 	// twice over into all of them, while a quarter of the accelerators is in use.
 	heldPerRack, gangWidth = 2, 7
-	// holdTime is the run time of the long tasks with leases of maxLease: the restart of the leader, calmTime and
-	// twice maxIdleTime pass in it.
+	// holdTime is the run time of the long tasks on their workers with leases of maxLease: the restart of the leader,
+	// calmTime and twice maxIdleTime pass in it.
 	holdTime = 16 * time.Second
 	// gangEstimate is the declared run time of the gang's tasks.
 	gangEstimate = 20 * time.Second
@@ -76,8 +76,9 @@
 			r.violationf("after the faults: %v", err)
 		}
 	}
-	for i := range r.slots {
-		r.submitJob(r.newJob(firstHolder+i, rackQueue, longTasks(heldPerRack, rackName(i), holdTime+r.longerLease())), i%len(r.processes), false)
+	for i, s := range r.slots {
+		runTime := time.Duration(float64(holdTime+r.longerLease()) * s.speed())
+		r.submitJob(r.newJob(firstHolder+i, rackQueue, longTasks(heldPerRack, rackName(i), runTime)), i%len(r.processes), false)
 	}
 	held := func() bool { return r.runningHolders() == len(r.slots)*heldPerRack }
 	for deadline := time.Now().Add(settledTimeout); time.Now().Before(deadline) && !held(); {
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -31,10 +31,13 @@
 // workerSpeeds are the speeds of the workers, in turn.
 var workerSpeeds = []float64{1, 0.6, 1.6}
 
+// speed returns the speed of the slot's workers.
+func (s *slot) speed() float64 { return workerSpeeds[s.index%len(workerSpeeds)] }
+
 func (s *slot) newWorker(id string) *platformtest.Worker {
 	return platformtest.NewWorker(platformtest.WorkerOptions{
 		Store: s.run.store, ID: id, Domain: domainName(s.index), Rack: rackName(s.index), Lease: s.run.opts.Lease, GPU: workerAccels,
-		Speed: workerSpeeds[s.index%len(workerSpeeds)],
+		Speed: s.speed(),
 		Address: func(own string) string {
 			s.proxy.setTarget(own)
 			return s.proxy.address()
