controller: the spec of cold workers waits for both workers

Cause, of the spec: it waited for the leader only. A worker gets work after its first answer to the leader; the log of that run shows that the first plan, 5 ms after the election, knew only the cold one, and the second one the other.

Change: the job is submitted once the cold worker has answered and an urgent job has run on the warm one. What is asked of the job is as before.

--- a/controller/cold_test.go
+++ b/controller/cold_test.go
@@ -35,9 +35,21 @@
 
 	It("gets urgent work after warm ones", func() {
 		c, i := newLeader()
-		grant, refusal := i.handler.Admit(intake.Call{Host: "h", Path: "/u/" + jobID(1)})
-		Expect(refusal).To(BeNil())
-		Expect(i.handler.Submit(context.Background(), grant, long).Verdict).To(Equal(intake.OK))
+		submitUrgent := func(id string, spec workflow.Spec) {
+			grant, refusal := i.handler.Admit(intake.Call{Host: "h", Path: "/u/" + id})
+			Expect(refusal).To(BeNil())
+			Expect(i.handler.Submit(context.Background(), grant, spec).Verdict).To(Equal(intake.OK))
+		}
+		// A worker gets work only after its first answer to the leader.
+		Eventually(c.workers[1].AnsweredAt, shortTimeout).ShouldNot(BeZero())
+		jobs := 1
+		Eventually(func() int {
+			jobs++
+			submitUrgent(jobID(jobs), workflow.Spec{Payload: "ms=1", Steps: []workflow.Step{step(1)}})
+			Eventually(func() workflow.State { return i.state(jobID(jobs)) }, shortTimeout).Should(Equal(workflow.Completed))
+			return len(c.workers[0].Starts())
+		}, shortTimeout).ShouldNot(BeZero())
+		submitUrgent(jobID(1), long)
 		Eventually(c.workers[0].Running, shortTimeout).Should(Equal(8))
 		Expect(c.workers[1].Running()).To(BeZero())
 	})
