e2e: successive ports lie below those of outgoing connections

Cause, of the spec: the ports are looked up, let go and taken later, and lie among those that the system gives to outgoing connections and to others who ask for a free port.

Change: they are chosen from 20000 to 31999.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -108,11 +109,12 @@
 }
 
 // freeSuccessiveAddresses returns the first of count loopback addresses on successive ports
-// on which no process listens.
+// on which no process listens. The ports are below those that systems usually give to outgoing connections, which
+// could take one of them before its process listens.
 func freeSuccessiveAddresses(count int) string {
 	GinkgoHelper()
 	for range 100 {
-		first := freeAddress()
+		first := net.JoinHostPort("127.0.0.1", strconv.Itoa(20000+rand.IntN(12000)))
 		free := true
 		for i := range count {
 			l, err := net.Listen("tcp", addressWithOffset(first, i))
