--- a/e2e/availability_test.go
+++ b/e2e/availability_test.go
@@ -309,7 +309,7 @@
 		// startedServices returns the service of each task that a worker has started.
 		startedServices := func() []string {
 			var list []string
-			for _, address := range []string{workerAddress, nextAddress(workerAddress)} {
+			for _, address := range []string{workerAddress, addressWithOffset(workerAddress, 1)} {
 				for _, execution := range journal(address) {
 					list = append(list, strings.Split(execution.ID, ":")[1])
 				}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -54,7 +53,7 @@
 // startWorkers starts workers of a failure domain on successive ports and returns the
 // address of the first. Their names are the domain's with a number, such as "a-1".
 func (f *fleet) startWorkers(domain string, count int) string {
-	address := freeAddressRange(count)
+	address := freeSuccessiveAddresses(count)
 	startProgram("standin", "worker", "--store", "http://"+f.storeAddress, "--listen", address, "--domain", domain,
 		"--count", strconv.Itoa(count))
 	eventually(respondsOK("http://" + address + "/v1/report"))
@@ -81,32 +80,6 @@
 	return e
 }
 
-// freeAddressRange returns the first of count loopback addresses on successive ports on
-// which no process listens.
-func freeAddressRange(count int) string {
-	for {
-		address, free := freeAddress(), true
-		for next, i := address, 0; i < count && free; next, i = nextAddress(next), i+1 {
-			l, err := net.Listen("tcp", next)
-			if free = err == nil; free {
-				defer l.Close()
-			}
-		}
-		if free {
-			return address
-		}
-	}
-}
-
-// nextAddress returns the address with the next higher port.
-func nextAddress(address string) string {
-	host, port, err := net.SplitHostPort(address)
-	Expect(err).NotTo(HaveOccurred())
-	number, err := strconv.Atoi(port)
-	Expect(err).NotTo(HaveOccurred())
-	return net.JoinHostPort(host, strconv.Itoa(number+1))
-}
-
 func (f *fleet) setStoreFaults(body string) {
 	GinkgoHelper()
 	putBody("http://"+f.storeAddress+"/faults", body)
--- a/gang/stop.go
+++ b/gang/stop.go
@@ -167,9 +167,9 @@
 
 // Check queries the state of every member. The result is Finished when all members have
 // finished, Broken when a member has failed, Lost when a member was stopped or no longer
-// exists or when there are no members, and Started otherwise. When a member cannot be queried, because its worker does not
-// answer or another process answers, the kind is empty and Result.Err is set. Check stops
-// nothing.
+// exists or when there are no members, and Started otherwise. When a member cannot be queried,
+// because its worker does not answer or another process answers, the kind is empty and
+// Result.Err is set. Check stops nothing.
 func (g *Gang) Check(ctx context.Context) Result {
 	name, err := g.forEachMember(ctx, g.query)
 	if err != nil {
